--- a/commands/commands.go
+++ b/commands/commands.go
@@ -26,7 +26,6 @@
 // changed afterwards.
 var registered []registration
 
-
 func register(group string, c subcommands.Command) {
 	registered = append(registered, registration{group: group, command: c})
 }
