--- /dev/null
+++ b/transport/caller/service.go
@@ -0,0 +1,68 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"samphirehead/protocol/answer"
+	"samphirehead/state/id"
+)
+
+// passedHeaders are the headers of a plain service's answer that reach the
+// caller.
+var passedHeaders = []string{"Content-Type", "Location", "Etag", "Last-Modified", "Retry-After"}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request, ws id.Workspace) {
+	arrived := time.Now()
+	request := newRequestID(w)
+	body, failure := s.readBody(w, r)
+	if failure != nil {
+		s.refuse(w, *failure)
+		return
+	}
+	result, out := s.Backend.Call(r.Context(), ServiceCall{
+		Request:        request,
+		Workspace:      ws,
+		Service:        id.Service(r.PathValue("service")),
+		Method:         r.Method,
+		Path:           "/" + r.PathValue("path"),
+		Query:          r.URL.RawQuery,
+		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Header:         r.Header,
+		Body:           body,
+		Arrived:        arrived,
+	})
+	s.answerCall(w, result, out)
+}
+
+// outcome tells again how an at-most-once call ended, without running it.
+func (s *Server) outcome(w http.ResponseWriter, r *http.Request, ws id.Workspace) {
+	q := r.URL.Query()
+	result, out := s.Backend.Outcome(r.Context(), ServiceCall{
+		Request:        newRequestID(w),
+		Workspace:      ws,
+		Service:        id.Service(q.Get("service")),
+		Method:         q.Get("method"),
+		Path:           q.Get("path"),
+		IdempotencyKey: r.PathValue("key"),
+		Arrived:        time.Now(),
+	})
+	s.answerCall(w, result, out)
+}
+
+func (s *Server) answerCall(w http.ResponseWriter, result answer.Result, out ServiceAnswer) {
+	if _, done := result.(answer.Completed); !done {
+		s.fail(w, result)
+		return
+	}
+	for _, name := range passedHeaders {
+		if v := out.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	s.setHeaders(w, answer.OutcomeCompleted)
+	extendWriteDeadline(w)
+	w.WriteHeader(out.Status)
+	// A failed write means that the caller is gone; the outcome is kept.
+	_, _ = w.Write(out.Body)
+}
--- /dev/null
+++ b/transport/caller/write.go
@@ -0,0 +1,90 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"samphirehead/protocol/answer"
+	"samphirehead/protocol/openai"
+)
+
+// errorBody is the OpenAI-style error object with the router's additions.
+type errorBody struct {
+	Error   openai.Error   `json:"error"`
+	Outcome answer.Outcome `json:"outcome"`
+	// RetryAfterMs is 0 when coming back would not help.
+	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
+}
+
+func failureBody(f answer.Failure, o answer.Outcome) errorBody {
+	return errorBody{
+		Error:        openai.Error{Message: f.Message, Type: errorType(f.Reason), Code: string(f.Reason)},
+		Outcome:      o,
+		RetryAfterMs: f.RetryAfter.Milliseconds(),
+	}
+}
+
+// errorType groups reasons as OpenAI's clients expect.
+func errorType(r answer.Reason) string {
+	switch status := r.Status(); {
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// refuse answers a request of which nothing was sent.
+func (s *Server) refuse(w http.ResponseWriter, f answer.Failure) {
+	var nothing answer.Progress
+	s.fail(w, nothing.End(f))
+}
+
+// fail answers with the error object of a result that is not Completed.
+func (s *Server) fail(w http.ResponseWriter, result answer.Result) {
+	f, o := explain(result)
+	s.setHeaders(w, o)
+	if f.RetryAfter > 0 {
+		seconds := int(math.Ceil(f.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeJSON(w, f.Reason.Status(), failureBody(f, o))
+}
+
+// explain returns why a result is not Completed, and what to tell the caller.
+func explain(result answer.Result) (answer.Failure, answer.Outcome) {
+	switch r := result.(type) {
+	case answer.NotRun:
+		return r.Failure(), answer.OutcomeNotRun
+	case answer.Unknown:
+		return r.Failure, answer.OutcomeUnknown
+	default:
+		return answer.Failure{}, answer.OutcomeCompleted
+	}
+}
+
+func (s *Server) setHeaders(w http.ResponseWriter, o answer.Outcome) {
+	version := uint64(s.Backend.ManifestVersion())
+	w.Header().Set(HeaderManifestVersion, strconv.FormatUint(version, 10))
+	if o != "" {
+		w.Header().Set(HeaderOutcome, string(o))
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func extendWriteDeadline(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
--- /dev/null
+++ b/transport/engine/engine.go
@@ -0,0 +1,236 @@
+// Package engine is the client of model engines.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+	"github.com/tmaxmax/go-sse"
+
+	"samphirehead/protocol/openai"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+)
+
+const (
+	dialTimeout      = 500 * time.Millisecond
+	loadTimeout      = time.Second
+	idleConnsPerHost = 256
+	idleConnTimeout  = 60 * time.Second
+	maxErrorBytes    = 4 << 10
+	doneMarker       = "[DONE]"
+)
+
+// Errors that a stream can end with, besides those of the context.
+var (
+	// ErrNotSent means that no byte reached the engine.
+	ErrNotSent = errors.New("nothing was sent")
+	// ErrRefused means that the engine answered with an error status.
+	ErrRefused = errors.New("engine refused the request")
+	// ErrBroken means that the stream ended before the answer did.
+	ErrBroken = errors.New("stream ended early")
+	// ErrStalled means that no token came for too long.
+	ErrStalled = errors.New("stream stalled")
+)
+
+// Client talks to engines over pooled connections. It is safe for concurrent
+// use.
+type Client struct {
+	// HTTP is made by NewTransport's settings when nil at the first call.
+	HTTP *http.Client
+}
+
+// NewHTTP returns an HTTP client with connection pools fit for upstreams.
+func NewHTTP() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:           dialer.DialContext,
+		MaxIdleConnsPerHost:   idleConnsPerHost,
+		IdleConnTimeout:       idleConnTimeout,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: 0,
+	}}
+}
+
+// Request is one attempt at a generation.
+type Request struct {
+	// Address is the engine's IP number and port.
+	Address string
+	// Request is echoed by the engine in each chunk.
+	Request id.Request
+	// Attempt counts from 1.
+	Attempt int
+	Tier    id.Tier
+	// Offset is the number of tokens that the caller already has.
+	Offset id.Tokens
+	Body   []byte
+	// FirstTokenTimeout bounds the wait for the first event; TokenTimeout
+	// each later one.
+	FirstTokenTimeout time.Duration
+	TokenTimeout      time.Duration
+}
+
+// Result counts what a stream brought.
+type Result struct {
+	// Next is the offset at which an attempt would resume.
+	Next id.Tokens
+	// Dropped counts late, duplicate or foreign events.
+	Dropped int
+}
+
+// Stream runs one attempt and hands each event to deliver, in order and each
+// once. It returns a nil error only when the answer is whole.
+func (c *Client) Stream(ctx context.Context, r Request, deliver func(openai.Event) error) (Result, error) {
+	result := Result{Next: r.Offset}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(r.FirstTokenTimeout, func() { cancel(ErrStalled) })
+	defer stall.Stop()
+
+	resp, err := c.open(ctx, r)
+	if err != nil {
+		return result, fault.At("open stream", r.Address, causeOf(ctx, err))
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	finished := false
+	for ev, err := range sse.Read(resp.Body, nil) {
+		if err != nil {
+			return result, fault.At("read stream", r.Address, causeOf(ctx, broken(err)))
+		}
+		if ev.Data == doneMarker {
+			return result, fault.At("read stream", r.Address, endOf(finished))
+		}
+		stall.Reset(r.TokenTimeout)
+		parsed, ok := accept(r, result.Next, ev)
+		if !ok {
+			result.Dropped++
+			continue
+		}
+		if err := deliver(parsed); err != nil {
+			return result, err
+		}
+		finished = finished || parsed.FinishReason != ""
+		if parsed.Content != "" {
+			result.Next++
+		}
+	}
+	return result, fault.At("read stream", r.Address, causeOf(ctx, endOf(finished)))
+}
+
+func (c *Client) open(ctx context.Context, r Request) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+"/v1/chat/completions", bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set("X-Request-Id", string(r.Request))
+	req.Header.Set("X-Attempt", strconv.Itoa(r.Attempt))
+	req.Header.Set("X-Priority", strconv.Itoa(int(r.Tier)))
+	if r.Offset > 0 {
+		req.Header.Set("X-Resume-Offset", strconv.FormatInt(int64(r.Offset), 10))
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	return nil, errors.Mark(errors.Newf("status %d: %s", resp.StatusCode, text), ErrRefused)
+}
+
+// accept parses an event and checks that it is the one expected next.
+func accept(r Request, next id.Tokens, ev sse.Event) (openai.Event, bool) {
+	var chunk openai.Chunk
+	if err := json.Unmarshal([]byte(ev.Data), &chunk); err != nil {
+		return openai.Event{}, false
+	}
+	if chunk.ID != string(r.Request) {
+		return openai.Event{}, false
+	}
+	out := openai.Event{Sequence: next, Data: ev.Data, Usage: chunk.Usage}
+	if len(chunk.Choices) > 0 {
+		out.Content = chunk.Choices[0].Delta.Content
+		if f := chunk.Choices[0].FinishReason; f != nil {
+			out.FinishReason = *f
+		}
+	}
+	if out.Content == "" || ev.LastEventID == "" {
+		return out, true
+	}
+	sequence, err := strconv.ParseInt(ev.LastEventID, 10, 64)
+	if err != nil {
+		return openai.Event{}, false
+	}
+	return out, id.Tokens(sequence) == next
+}
+
+// classify marks errors after which certainly no byte had reached the engine.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Mark(err, ErrNotSent)
+	}
+	return broken(err)
+}
+
+func broken(err error) error { return errors.Mark(err, ErrBroken) }
+
+func endOf(finished bool) error {
+	if finished {
+		return nil
+	}
+	return ErrBroken
+}
+
+// causeOf prefers the reason why ctx was cancelled.
+func causeOf(ctx context.Context, err error) error {
+	if err == nil || ctx.Err() == nil {
+		return err
+	}
+	return context.Cause(ctx)
+}
+
+// Refused reports whether err shows that no process listens at the address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Load is an engine's own late report.
+type Load struct {
+	AsOfMsAgo    int64      `json:"as_of_ms_ago"`
+	Running      int        `json:"running"`
+	Waiting      int        `json:"waiting"`
+	KVUsedTokens id.Tokens  `json:"kv_used_tokens"`
+	Models       []id.Model `json:"models"`
+}
+
+// Load asks the engine at address for its load report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var out Load
+	req, err := sling.New().Base("http://" + address).Get("/v1/load").Request()
+	if err != nil {
+		return out, fault.At("read load", address, err)
+	}
+	resp, err := sling.New().Client(c.HTTP).Do(req.WithContext(ctx), &out, nil) //nolint:bodyclose // Do closes it.
+	if err != nil {
+		return out, fault.At("read load", address, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return out, fault.New("read load", address, resp.Status)
+	}
+	return out, nil
+}
