peer: carry calls between instances over shared HTTP/2 connections

The secret is compared by digest in constant time. One-way faults lose requests or responses for tests.

--- /dev/null
+++ b/transport/peer/clients.go
@@ -0,0 +1,159 @@
+// Package peer carries calls between instances: Twirp over HTTP/2 without
+// TLS, authenticated by the shared peer secret. One connection to each address
+// carries many waiting calls.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/coordination/member"
+	"samphirehead/protocol/peer"
+)
+
+const (
+	dialTimeout = time.Second
+	// callTimeout bounds every call but Reserve, which its caller bounds.
+	callTimeout = 2 * time.Second
+	// pingAfter and pingTimeout end waiting calls to a machine that is gone.
+	pingAfter   = 1500 * time.Millisecond
+	pingTimeout = time.Second
+	idleTimeout = 2 * time.Minute
+	// maxConnections bounds the connections to one address when many calls
+	// start before the first connection stands.
+	maxConnections = 4
+)
+
+// Clients calls other instances. Fields are set before the first call.
+type Clients struct {
+	// Secret is shared by all instances of the system.
+	Secret string
+	// Wrap replaces the round tripper in tests, to lose or delay messages;
+	// nil means none.
+	Wrap func(http.RoundTripper) http.RoundTripper
+
+	once      sync.Once
+	transport *http.Transport
+	waiting   *http.Client
+	short     *http.Client
+
+	mu    sync.Mutex
+	peers map[string]*clientSet
+}
+
+// clientSet holds the clients of one address.
+type clientSet struct {
+	home   peer.Home
+	entry  peer.Entry
+	member peer.Member
+}
+
+// Home returns the client of the home at a peer address. Reserve is bounded by
+// its context only.
+func (c *Clients) Home(address string) peer.Home { return c.at(address).home }
+
+// Entry returns the client of the entry at a peer address.
+func (c *Clients) Entry(address string) peer.Entry { return c.at(address).entry }
+
+// Member returns the client of the member at a peer address.
+func (c *Clients) Member(address string) peer.Member { return c.at(address).member }
+
+// CloseIdle closes connections that carry no call.
+func (c *Clients) CloseIdle() {
+	c.once.Do(c.init)
+	c.transport.CloseIdleConnections()
+}
+
+// Forget drops the clients of addresses that keep does not hold, so that the
+// cache stays bounded by the members.
+func (c *Clients) Forget(keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address := range c.peers {
+		if !keep[address] {
+			delete(c.peers, address)
+		}
+	}
+}
+
+func (c *Clients) at(address string) *clientSet {
+	c.once.Do(c.init)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if set, ok := c.peers[address]; ok {
+		return set
+	}
+	url := "http://" + address
+	set := &clientSet{
+		home: homeClient{
+			Home:    peer.NewHomeProtobufClient(url, c.short),
+			waiting: peer.NewHomeProtobufClient(url, c.waiting),
+		},
+		entry:  peer.NewEntryProtobufClient(url, c.short),
+		member: peer.NewMemberProtobufClient(url, c.short),
+	}
+	c.peers[address] = set
+	return set
+}
+
+func (c *Clients) init() {
+	c.peers = map[string]*clientSet{}
+	c.transport = newTransport()
+	var tripper http.RoundTripper = c.transport
+	if c.Wrap != nil {
+		tripper = c.Wrap(tripper)
+	}
+	tripper = &authenticated{secret: c.Secret, next: tripper}
+	c.waiting = &http.Client{Transport: tripper}
+	c.short = &http.Client{Transport: tripper, Timeout: callTimeout}
+}
+
+func newTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols:       protocols,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: idleTimeout,
+		MaxConnsPerHost: maxConnections,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}
+}
+
+// homeClient sends Reserve, which waits, through a client without a timeout.
+type homeClient struct {
+	peer.Home
+	waiting peer.Home
+}
+
+func (h homeClient) Reserve(ctx context.Context, r *peer.ReserveRequest) (*peer.ReserveResponse, error) {
+	return h.waiting.Reserve(ctx, r)
+}
+
+type authenticated struct {
+	secret string
+	next   http.RoundTripper
+}
+
+func (a *authenticated) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set(secretHeader, a.secret)
+	return a.next.RoundTrip(r)
+}
+
+// EvidenceOf says what a failed call tells about its peer.
+func EvidenceOf(err error) member.Evidence {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return member.Refused
+	}
+	return member.TimedOut
+}
--- /dev/null
+++ b/transport/peer/peer_test.go
@@ -0,0 +1,191 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"samphirehead/coordination/member"
+	wire "samphirehead/protocol/peer"
+	"samphirehead/transport/peer"
+)
+
+// instance counts calls and answers each Reserve only when all are waiting.
+type instance struct {
+	reserves atomic.Int32
+	renews   atomic.Int32
+	waiting  sync.WaitGroup
+}
+
+func (i *instance) Reserve(_ context.Context, r *wire.ReserveRequest) (*wire.ReserveResponse, error) {
+	i.reserves.Add(1)
+	i.waiting.Done()
+	i.waiting.Wait()
+	return &wire.ReserveResponse{Upstream: r.Reservation}, nil
+}
+
+func (i *instance) Renew(context.Context, *wire.RenewRequest) (*wire.RenewResponse, error) {
+	i.renews.Add(1)
+	return &wire.RenewResponse{}, nil
+}
+
+func (*instance) Release(context.Context, *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
+	return &wire.ReleaseResponse{}, nil
+}
+
+func (*instance) Preempt(context.Context, *wire.PreemptRequest) (*wire.PreemptResponse, error) {
+	return &wire.PreemptResponse{}, nil
+}
+
+func (*instance) Probe(context.Context, *wire.ProbeRequest) (*wire.ProbeResponse, error) {
+	return &wire.ProbeResponse{Reached: true}, nil
+}
+
+func (*instance) FetchManifest(context.Context, *wire.FetchManifestRequest) (*wire.FetchManifestResponse, error) {
+	return &wire.FetchManifestResponse{}, nil
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// serve returns the address of i and a count of its connections.
+func serve(t *testing.T, secret string, i *instance) (string, *atomic.Int32) {
+	t.Helper()
+	listener := listen(t)
+	server := peer.NewServer(peer.Handler(secret, i, i, i))
+	var connections atomic.Int32
+	server.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return listener.Addr().String(), &connections
+}
+
+func TestManyWaitingCallsShareFewConnections(t *testing.T) {
+	const calls = 1000
+	i := &instance{}
+	i.waiting.Add(calls)
+	address, connections := serve(t, "s", i)
+	clients := &peer.Clients{Secret: "s"}
+	errs := make(chan error, calls)
+	for n := range calls {
+		go func() {
+			want := fmt.Sprint(n)
+			got, err := clients.Home(address).Reserve(t.Context(), &wire.ReserveRequest{Reservation: want})
+			if err == nil && got.Upstream != want {
+				err = fmt.Errorf("answer %q for %q", got.Upstream, want)
+			}
+			errs <- err
+		}()
+	}
+	for range calls {
+		if err := <-errs; err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := connections.Load(); got > 4 {
+		t.Errorf("%d connections for %d waiting calls", got, calls)
+	}
+}
+
+func TestSecret(t *testing.T) {
+	for _, c := range []struct {
+		name, server, client string
+		admitted             bool
+	}{
+		{"same", "s", "s", true},
+		{"wrong", "s", "t", false},
+		{"longer", "s", "ss", false},
+		{"none given", "s", "", false},
+		{"none set", "", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			i := &instance{}
+			address, _ := serve(t, c.server, i)
+			clients := &peer.Clients{Secret: c.client}
+			_, err := clients.Home(address).Renew(t.Context(), &wire.RenewRequest{})
+			if admitted := err == nil; admitted != c.admitted {
+				t.Fatalf("admitted = %v: %v", admitted, err)
+			}
+			var refusal twirp.Error
+			if !c.admitted && (!asTwirp(err, &refusal) || refusal.Code() != twirp.Unauthenticated) {
+				t.Errorf("error = %v, want unauthenticated", err)
+			}
+			if !c.admitted && i.renews.Load() != 0 {
+				t.Error("the call ran")
+			}
+		})
+	}
+}
+
+func asTwirp(err error, target *twirp.Error) bool {
+	var ok bool
+	*target, ok = err.(twirp.Error) //nolint:errorlint // Twirp clients return the interface itself.
+	return ok
+}
+
+func TestEvidence(t *testing.T) {
+	closed := listen(t)
+	address := closed.Addr().String()
+	_ = closed.Close()
+	clients := &peer.Clients{Secret: "s"}
+	_, err := clients.Member(address).Probe(t.Context(), &wire.ProbeRequest{})
+	if got := peer.EvidenceOf(err); got != member.Refused {
+		t.Errorf("closed port: %s (%v)", got, err)
+	}
+	if !strings.Contains(fmt.Sprint(err), "refused") {
+		t.Errorf("error lacks its cause: %v", err)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		loss peer.Loss
+		runs int32
+	}{{peer.LoseRequests, 0}, {peer.LoseResponses, 1}} {
+		t.Run(string(c.loss), func(t *testing.T) {
+			i := &instance{}
+			address, _ := serve(t, "s", i)
+			faults := &peer.Faults{}
+			clients := &peer.Clients{Secret: "s", Wrap: faults.Wrap}
+			faults.Lose(address, c.loss)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := clients.Home(address).Renew(ctx, &wire.RenewRequest{})
+			if err == nil || peer.EvidenceOf(err) != member.TimedOut {
+				t.Fatalf("evidence of %v is not a timeout", err)
+			}
+			if got := i.renews.Load(); got != c.runs {
+				t.Errorf("runs = %d, want %d", got, c.runs)
+			}
+			faults.Restore(address)
+			if _, err := clients.Home(address).Renew(t.Context(), &wire.RenewRequest{}); err != nil {
+				t.Errorf("after the loss: %v", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/transport/peer/server.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"samphirehead/protocol/peer"
+)
+
+const (
+	secretHeader = "X-Samphirehead-Peer"
+	// maxMessage bounds a request body; a manifest travels in responses.
+	maxMessage        = 1 << 20
+	readHeaderTimeout = 5 * time.Second
+	// maxStreams bounds the waiting calls of one peer.
+	maxStreams = 16384
+)
+
+// Handler serves the three peer services to callers that know secret. An
+// empty secret admits nobody.
+func Handler(secret string, home peer.Home, entry peer.Entry, member peer.Member) http.Handler {
+	mux := http.NewServeMux()
+	for _, s := range []peer.TwirpServer{
+		peer.NewHomeServer(home),
+		peer.NewEntryServer(entry),
+		peer.NewMemberServer(member),
+	} {
+		mux.Handle(s.PathPrefix(), s)
+	}
+	return &guard{secret: sha256.Sum256([]byte(secret)), empty: secret == "", next: mux}
+}
+
+// NewServer returns a server for handler that speaks HTTP/2 without TLS. The
+// caller runs Serve on a listener and Shutdown.
+func NewServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       2 * idleTimeout,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+}
+
+// guard compares digests, so that the time taken tells nothing of the secret
+// or its length.
+type guard struct {
+	secret [sha256.Size]byte
+	empty  bool
+	next   http.Handler
+}
+
+func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	given := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
+	if g.empty || subtle.ConstantTimeCompare(given[:], g.secret[:]) != 1 {
+		_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "peer secret missing or wrong"))
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, maxMessage)
+	g.next.ServeHTTP(w, r)
+}
