standin: add the platform, engine and service stand-ins

The router needs something to talk to before any of it can run or be tested. Each stand-in takes faults at run time and keeps the ground truth of what it did. A port stays reserved while its stand-in is down, so that connections are refused as by a crashed process.

--- /dev/null
+++ b/commands/standin.go
@@ -0,0 +1,98 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"go.yaml.in/yaml/v3"
+	"k8s.io/klog/v2"
+
+	"samphirehead/standin/engine"
+	"samphirehead/standin/platform"
+	"samphirehead/standin/service"
+)
+
+type standinCommand struct {
+	settings string
+}
+
+func init() { register(groupRun, &standinCommand{}) }
+
+func (*standinCommand) Name() string     { return "standin" }
+func (*standinCommand) Synopsis() string { return "run a stand-in platform, engine or service" }
+
+func (*standinCommand) Usage() string {
+	return `standin platform|engine|service -settings FILE
+  Runs a stand-in for what surrounds samphirehead until it is interrupted.
+  docs/STANDINS.md describes the settings, the protocols and the faults.
+`
+}
+
+func (s *standinCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.settings, "settings", "", "YAML `file` with the settings")
+}
+
+// standin is what the three kinds have in common.
+type standin interface {
+	Listen() error
+	Addr() string
+	Run(ctx context.Context) error
+}
+
+func (s *standinCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	kind := f.Arg(0)
+	chosen := newStandin(kind)
+	// The flags may also follow the kind.
+	if chosen == nil || f.Parse(f.Args()[1:]) != nil || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, s.Usage())
+		return subcommands.ExitUsageError
+	}
+	if err := readSettings(s.settings, chosen); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := chosen.Listen(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	klog.InfoS("stand-in is listening", "kind", kind, "address", chosen.Addr())
+	if err := chosen.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func newStandin(kind string) standin {
+	switch kind {
+	case "platform":
+		return &platform.Platform{}
+	case "engine":
+		return &engine.Engine{}
+	case "service":
+		return &service.Service{}
+	}
+	return nil
+}
+
+// readSettings decodes a YAML file and refuses unknown keys.
+func readSettings(file string, into any) error {
+	opened, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer opened.Close()
+	decoder := yaml.NewDecoder(opened)
+	decoder.KnownFields(true)
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,207 @@
+// Package engine stands in for a model engine with continuous batching. Its
+// answers are deterministic, so that callers can check every token.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"samphirehead/standin/fault"
+	"samphirehead/standin/listener"
+)
+
+// Defaults of the settings.
+const (
+	DefaultSlots                  = 8
+	DefaultPrefillTokensPerSecond = 8000
+	DefaultDecodeTokensPerSecond  = 400
+	DefaultKVTokens               = 65536
+	DefaultTick                   = 2 * time.Millisecond
+	DefaultReportInterval         = 100 * time.Millisecond
+	DefaultReportLag              = 250 * time.Millisecond
+	DefaultEventDelay             = 500 * time.Millisecond
+	DefaultEventGap               = 50
+	DefaultCacheBlocks            = 4096
+	DefaultLoadTime               = 300 * time.Millisecond
+)
+
+// loneShare is how many times its even share of the decode rate one stream can
+// use when other slots are free.
+const loneShare = 4
+
+const defaultDownTime = 2 * time.Second
+
+// Engine is one model worker.
+type Engine struct {
+	// Address to listen on; port 0 lets the kernel choose.
+	Address string `yaml:"address"`
+	// Models are loaded at the start.
+	Models []string `yaml:"models"`
+	// Role is the role at the start.
+	Role string `yaml:"role"`
+	// Slots is the most streams that run at once.
+	Slots int `yaml:"slots"`
+	// PrefillTokensPerSecond is shared by all prompts being read.
+	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second"`
+	// DecodeTokensPerSecond is shared by all streams that generate.
+	DecodeTokensPerSecond float64 `yaml:"decode_tokens_per_second"`
+	// KVTokens bounds the prompt and answer tokens of the running streams.
+	KVTokens int `yaml:"kv_tokens"`
+	// Fast makes an answer ready as soon as it has a slot, whatever the
+	// rates.
+	Fast bool `yaml:"fast"`
+	// Tick is the time between two steps of the batch.
+	Tick time.Duration `yaml:"tick"`
+	// ReportInterval is the time between two load reports.
+	ReportInterval time.Duration `yaml:"report_interval"`
+	// ReportLag is the age of the newest visible load report.
+	ReportLag time.Duration `yaml:"report_lag"`
+	// EventDelay is how late cache events become visible.
+	EventDelay time.Duration `yaml:"event_delay"`
+	// EventGap loses each cache event whose sequence number it divides;
+	// negative loses none.
+	EventGap int `yaml:"event_gap"`
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int `yaml:"cache_blocks"`
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool `yaml:"checks_fencing"`
+	// LoadTime is how long the loading of a model takes.
+	LoadTime time.Duration `yaml:"load_time"`
+	// Faults are in effect; they may be changed at any time.
+	Faults fault.Set `yaml:"-"`
+
+	once     sync.Once
+	listener listener.Listener
+	handler  http.Handler
+
+	mu     sync.Mutex
+	batch  batch
+	cache  cache
+	placed placement
+	// reports holds the load history, oldest first.
+	reports []report
+	// frozen is what a stale report shows.
+	frozen    report
+	attempts  []*Attempt
+	crashes   []Crash
+	imported  map[string]int
+	downUntil time.Time
+}
+
+func (e *Engine) prepare() {
+	e.once.Do(func() {
+		e.setDefaults()
+		e.batch.live = map[string]*stream{}
+		e.imported = map[string]int{}
+		e.cache.prepare(e.CacheBlocks, e.EventGap)
+		e.placed.prepare(e.Models, e.Role)
+		e.Faults.OnAdd = e.faultAdded
+		e.handler = e.routes()
+		e.listener.Address = e.Address
+		e.listener.Handler = e.handler
+	})
+}
+
+func (e *Engine) setDefaults() {
+	setDefault(&e.Slots, DefaultSlots)
+	setDefault(&e.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
+	setDefault(&e.DecodeTokensPerSecond, DefaultDecodeTokensPerSecond)
+	setDefault(&e.KVTokens, DefaultKVTokens)
+	setDefault(&e.Tick, DefaultTick)
+	setDefault(&e.ReportInterval, DefaultReportInterval)
+	setDefault(&e.ReportLag, DefaultReportLag)
+	setDefault(&e.EventDelay, DefaultEventDelay)
+	setDefault(&e.EventGap, DefaultEventGap)
+	setDefault(&e.CacheBlocks, DefaultCacheBlocks)
+	setDefault(&e.LoadTime, DefaultLoadTime)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Listen chooses the port.
+func (e *Engine) Listen() error {
+	e.prepare()
+	return e.listener.Listen()
+}
+
+// Addr returns the address once Listen has returned.
+func (e *Engine) Addr() string { return e.listener.Addr() }
+
+// Run serves until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	e.prepare()
+	return e.listener.Serve(ctx)
+}
+
+// Handler returns what Run serves.
+func (e *Engine) Handler() http.Handler {
+	e.prepare()
+	return e.handler
+}
+
+func (e *Engine) routes() http.Handler {
+	services := http.NewServeMux()
+	services.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	services.HandleFunc("POST /v1/cancel/{request}", e.serveCancel)
+	services.HandleFunc("GET /v1/load", e.serveLoad)
+	services.HandleFunc("GET /v1/cache_events", e.serveCacheEvents)
+	services.HandleFunc("POST /v1/orders", e.serveOrder)
+	services.HandleFunc("GET /v1/kv/{request}", e.serveExportKV)
+	services.HandleFunc("PUT /v1/kv/{request}", e.serveImportKV)
+	all := http.NewServeMux()
+	all.Handle("/faults", &e.Faults)
+	all.HandleFunc("GET /truth", e.serveTruth)
+	all.Handle("/v1/", e.refuseWhenDown(services))
+	return all
+}
+
+func (e *Engine) refuseWhenDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		down := time.Now().Before(e.downUntil)
+		e.mu.Unlock()
+		if _, ok := e.Faults.Strike(fault.Down, r.Method+" "+r.URL.Path); ok || down {
+			fault.DropConnection()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// faultAdded carries out what a fault does at once.
+func (e *Engine) faultAdded(f fault.Fault) {
+	switch {
+	case f.Kind == fault.Crash && f.Match == "":
+		e.crash(f, "")
+	case f.Kind == fault.StaleReport:
+		e.mu.Lock()
+		e.frozen = e.visibleReport(time.Now())
+		e.mu.Unlock()
+	}
+}
+
+// crash drops every connection, forgets everything and refuses new
+// connections for a while.
+func (e *Engine) crash(f fault.Fault, request string) {
+	d := f.Duration()
+	if d == 0 {
+		d = defaultDownTime
+	}
+	now := time.Now()
+	e.mu.Lock()
+	e.crashes = append(e.crashes, Crash{AtUnixUS: now.UnixMicro(), Request: request, Match: f.Match})
+	e.downUntil = now.Add(d)
+	for _, s := range e.batch.all() {
+		e.end(now, s, EndCrashed)
+	}
+	e.cache.clear()
+	clear(e.imported)
+	e.mu.Unlock()
+	e.listener.Down(d)
+}
--- /dev/null
+++ b/standin/platform/instances.go
@@ -0,0 +1,127 @@
+package platform
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirehead/standin/fault"
+)
+
+// Instance is one entry of the list of live and leaving instances.
+type Instance struct {
+	Instance      string `json:"instance"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	CallerAddress string `json:"caller_address"`
+	PeerAddress   string `json:"peer_address"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+type listing struct {
+	at        time.Time
+	instances map[string]Instance
+}
+
+type instances struct {
+	mu sync.Mutex
+	// history holds a listing for each change, oldest first; those that no
+	// reader can see any more are dropped.
+	history []listing
+	// frozenAt is when a stale report began; zero when there is none.
+	frozenAt time.Time
+}
+
+func (i *instances) change(lag time.Duration, f func(map[string]Instance)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	current := map[string]Instance{}
+	if n := len(i.history); n > 0 {
+		current = maps.Clone(i.history[n-1].instances)
+	}
+	f(current)
+	if i.frozenAt.IsZero() {
+		i.drop(now.Add(-lag))
+	}
+	i.history = append(i.history, listing{now, current})
+}
+
+// drop forgets all listings but the last one at or before t.
+func (i *instances) drop(t time.Time) {
+	for len(i.history) > 1 && !i.history[1].at.After(t) {
+		i.history = i.history[1:]
+	}
+}
+
+// list returns the listing as of now less lag, or less the time since it was
+// frozen.
+func (i *instances) list(lag time.Duration, frozen bool) listing {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	if !frozen {
+		i.frozenAt = time.Time{}
+	} else if i.frozenAt.IsZero() {
+		i.frozenAt = now
+	}
+	asOf := now.Add(-lag)
+	if frozen {
+		asOf = i.frozenAt.Add(-lag)
+	}
+	view := listing{at: asOf}
+	for _, l := range i.history {
+		if !l.at.After(asOf) {
+			view.instances = l.instances
+		}
+	}
+	return view
+}
+
+func (p *Platform) serveInstances(w http.ResponseWriter, _ *http.Request) {
+	if !admit(w, p.reads, 1) {
+		return
+	}
+	_, frozen := p.Faults.Active(fault.StaleReport)
+	l := p.instances.list(max(p.ListLag, 0), frozen)
+	list := []Instance{}
+	for _, name := range slices.Sorted(maps.Keys(l.instances)) {
+		list = append(list, l.instances[name])
+	}
+	writeJSON(w, http.StatusOK, struct {
+		AsOfMS    int64      `json:"as_of_ms"`
+		Instances []Instance `json:"instances"`
+	}{l.at.UnixMilli(), list})
+}
+
+func (p *Platform) servePutInstance(w http.ResponseWriter, r *http.Request) {
+	var instance Instance
+	if err := json.Unmarshal(requestBody(r), &instance); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	instance.Instance = r.PathValue("id")
+	p.PutInstance(instance)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) serveDeleteInstance(w http.ResponseWriter, r *http.Request) {
+	p.DeleteInstance(r.PathValue("id"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// PutInstance adds or replaces an instance of the list.
+func (p *Platform) PutInstance(instance Instance) {
+	p.prepare()
+	p.instances.change(max(p.ListLag, 0), func(m map[string]Instance) { m[instance.Instance] = instance })
+}
+
+// DeleteInstance takes an instance off the list.
+func (p *Platform) DeleteInstance(name string) {
+	p.prepare()
+	p.instances.change(max(p.ListLag, 0), func(m map[string]Instance) { delete(m, name) })
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,204 @@
+// Package platform stands in for the platform's services: the transactional
+// table, the object store, the lagging list of instances and the weight store.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"samphirehead/standin/fault"
+	"samphirehead/standin/listener"
+)
+
+// Defaults of the settings.
+const (
+	DefaultWritesPerSecond  = 600
+	DefaultReadsPerSecond   = 2000
+	DefaultWeightsPerSecond = 2
+	DefaultListLag          = 2 * time.Second
+)
+
+const largestBody = 16 << 20
+
+// Platform serves all platform services at one address.
+type Platform struct {
+	// Address to listen on; port 0 lets the kernel choose.
+	Address string `yaml:"address"`
+	// WritesPerSecond limits written rows and objects.
+	WritesPerSecond float64 `yaml:"writes_per_second"`
+	// ReadsPerSecond limits read rows and objects.
+	ReadsPerSecond float64 `yaml:"reads_per_second"`
+	// WeightsPerSecond limits reads of the weight store.
+	WeightsPerSecond float64 `yaml:"weights_per_second"`
+	// ListLag is how late the list of instances is; negative for no lag.
+	ListLag time.Duration `yaml:"list_lag"`
+	// Faults are in effect; they may be changed at any time.
+	Faults fault.Set `yaml:"-"`
+
+	once      sync.Once
+	listener  listener.Listener
+	handler   http.Handler
+	writes    *rate.Limiter
+	reads     *rate.Limiter
+	weights   *rate.Limiter
+	table     table
+	objects   objects
+	instances instances
+	late      sync.WaitGroup
+}
+
+func (p *Platform) prepare() {
+	p.once.Do(func() {
+		p.setDefaults()
+		p.writes = limiter(p.WritesPerSecond)
+		p.reads = limiter(p.ReadsPerSecond)
+		p.weights = rate.NewLimiter(rate.Limit(p.WeightsPerSecond), 1)
+		p.handler = p.routes()
+		p.listener.Address = p.Address
+		p.listener.Handler = p.handler
+	})
+}
+
+func (p *Platform) setDefaults() {
+	if p.WritesPerSecond == 0 {
+		p.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if p.ReadsPerSecond == 0 {
+		p.ReadsPerSecond = DefaultReadsPerSecond
+	}
+	if p.WeightsPerSecond == 0 {
+		p.WeightsPerSecond = DefaultWeightsPerSecond
+	}
+	if p.ListLag == 0 {
+		p.ListLag = DefaultListLag
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), int(max(perSecond, 1)))
+}
+
+// Listen chooses the port.
+func (p *Platform) Listen() error {
+	p.prepare()
+	return p.listener.Listen()
+}
+
+// Addr returns the address once Listen has returned.
+func (p *Platform) Addr() string { return p.listener.Addr() }
+
+// Run serves until ctx ends and late writes have landed.
+func (p *Platform) Run(ctx context.Context) error {
+	p.prepare()
+	defer p.late.Wait()
+	return p.listener.Serve(ctx)
+}
+
+// Handler returns what Run serves.
+func (p *Platform) Handler() http.Handler {
+	p.prepare()
+	return p.handler
+}
+
+func (p *Platform) routes() http.Handler {
+	services := http.NewServeMux()
+	services.HandleFunc("POST /v1/table/write", p.serveWrite)
+	services.HandleFunc("POST /v1/table/read", p.serveRead)
+	services.HandleFunc("GET /v1/table/scan", p.serveScan)
+	services.HandleFunc("GET /v1/objects/{name...}", p.serveGetObject)
+	services.HandleFunc("PUT /v1/objects/{name...}", p.servePutObject)
+	services.HandleFunc("DELETE /v1/objects/{name...}", p.serveDeleteObject)
+	services.HandleFunc("GET /v1/instances", p.serveInstances)
+	services.HandleFunc("PUT /v1/instances/{id}", p.servePutInstance)
+	services.HandleFunc("DELETE /v1/instances/{id}", p.serveDeleteInstance)
+	services.HandleFunc("GET /v1/weights/{model}/{version}", p.serveWeights)
+	all := http.NewServeMux()
+	all.Handle("/faults", &p.Faults)
+	all.HandleFunc("GET /truth", p.serveTruth)
+	all.Handle("/v1/", p.misbehave(services))
+	return all
+}
+
+// bodyKey finds the body that misbehave has read.
+type bodyKey struct{}
+
+// misbehave reads the body and applies the faults that come before the work.
+func (p *Platform) misbehave(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, largestBody))
+		if err != nil {
+			http.Error(w, "body too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+		subject := r.Method + " " + r.URL.Path
+		if f, ok := p.Faults.Strike(fault.Slow, subject, string(body)); ok {
+			fault.Sleep(r.Context(), f.Delay())
+		}
+		if _, ok := p.Faults.Strike(fault.Stall, subject, string(body)); ok {
+			<-r.Context().Done()
+			fault.DropConnection()
+		}
+		if _, ok := p.Faults.Strike(fault.Down, subject, string(body)); ok {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)))
+	})
+}
+
+func requestBody(r *http.Request) []byte {
+	body, _ := r.Context().Value(bodyKey{}).([]byte)
+	return body
+}
+
+// mutate carries out a change under the faults that lose or delay it; answer
+// gets what change returned.
+func mutate[T any](p *Platform, r *http.Request, change func() T, answer func(T)) {
+	subject := r.Method + " " + r.URL.Path
+	body := string(requestBody(r))
+	if f, ok := p.Faults.Strike(fault.LateWrite, subject, body); ok {
+		p.late.Add(1)
+		time.AfterFunc(f.Delay(), func() {
+			defer p.late.Done()
+			change()
+		})
+		fault.DropConnection()
+	}
+	result := change()
+	if _, ok := p.Faults.Strike(fault.LostAnswer, subject, body); ok {
+		fault.DropConnection()
+	}
+	answer(result)
+}
+
+// admit takes n from limit or answers 429.
+func admit(w http.ResponseWriter, limit *rate.Limiter, n int) bool {
+	if limit.AllowN(time.Now(), max(n, 1)) {
+		return true
+	}
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "over the rate", http.StatusTooManyRequests)
+	return false
+}
+
+func (p *Platform) serveWeights(w http.ResponseWriter, r *http.Request) {
+	if !admit(w, p.weights, 1) {
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Model   string `json:"model"`
+		Version string `json:"version"`
+	}{r.PathValue("model"), r.PathValue("version")})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
