--- /dev/null
+++ b/state/manifest/check.go
@@ -0,0 +1,236 @@
+package manifest
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"samphirehead/state/document"
+	"samphirehead/state/id"
+)
+
+// LowestTier is the largest number that a tier may have.
+const LowestTier = 16
+
+// shareTolerance absorbs rounding in the sum of the minimum shares.
+const shareTolerance = 1e-9
+
+// modelPattern admits the names that model hubs use, such as "org/model:tag".
+var modelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_.:/-]{0,127}$`)
+
+// checker finds everything that is wrong with a decoded manifest.
+type checker struct {
+	document *document.Document
+	manifest *Manifest
+
+	classes  map[id.Class]bool
+	models   map[id.Model]bool
+	services map[id.Service]bool
+}
+
+func (c *checker) check() {
+	c.collectNames()
+	c.checkClasses()
+	c.checkModels()
+	c.checkServices()
+	c.checkWorkspaces()
+	c.checkUpstreams()
+}
+
+// collectNames gathers what references may name and reports repetitions.
+func (c *checker) collectNames() {
+	c.classes = unique(c, "classes", c.manifest.Classes, func(each Class) id.Class { return each.Name })
+	c.models = unique(c, "models", c.manifest.Models, func(each Model) id.Model { return each.Name })
+	c.services = unique(c, "services", c.manifest.Services, func(each Service) id.Service { return each.Name })
+	unique(c, "workspaces", c.manifest.Workspaces, func(each Workspace) id.Workspace { return each.Name })
+	unique(c, "upstreams", c.manifest.Upstreams, func(each Upstream) id.Upstream { return each.Name })
+}
+
+func unique[T any, N ~string](c *checker, section string, items []T, name func(T) N) map[N]bool {
+	seen := make(map[N]bool, len(items))
+	for i, item := range items {
+		if n := name(item); n != "" && seen[n] {
+			c.fault(fmt.Sprintf("%s[%d].name", section, i), "%q is used twice", n)
+		}
+		seen[name(item)] = true
+	}
+	return seen
+}
+
+// fault records a fault unless the field already has one.
+func (c *checker) fault(field, format string, args ...any) {
+	if !c.document.Faulty(field) {
+		c.document.Fault(field, format, args...)
+	}
+}
+
+func (c *checker) name(field, value string) {
+	if err := document.CheckName(value); err != nil {
+		c.fault(field, "%v", err)
+	}
+}
+
+func (c *checker) notEmpty(field string, length int) {
+	if length == 0 {
+		c.fault(field, "want at least one")
+	}
+}
+
+func (c *checker) checkClasses() {
+	classes := c.manifest.Classes
+	c.notEmpty("classes", len(classes))
+	highest := highestTier(classes)
+	sum := 0.0
+	for i, class := range classes {
+		field := fmt.Sprintf("classes[%d]", i)
+		c.name(field+".name", string(class.Name))
+		c.checkTimes(field, class)
+		c.checkShare(field, class, highest)
+		if class.Tier < 1 || class.Tier > LowestTier {
+			c.fault(field+".tier", "want a tier from 1 to %d", LowestTier)
+		}
+		if class.QueueBound < 1 {
+			c.fault(field+".queue_bound", "want at least 1")
+		}
+		if class.LargestPrompt < 0 {
+			c.fault(field+".largest_prompt", "want 0 or more")
+		}
+		sum += class.MinimumShare
+	}
+	if sum > 1-shareTolerance {
+		c.fault("classes", "the minimum shares add up to %.4g; want less than 1", sum)
+	}
+}
+
+func highestTier(classes []Class) id.Tier {
+	highest := id.Tier(LowestTier)
+	for _, class := range classes {
+		if class.Tier >= 1 {
+			highest = min(highest, class.Tier)
+		}
+	}
+	return highest
+}
+
+func (c *checker) checkTimes(field string, class Class) {
+	c.lasting(field+".first_token", class.FirstToken)
+	c.lasting(field+".total_deadline", class.TotalDeadline)
+	if class.BetweenTokens < 0 {
+		c.fault(field+".between_tokens", "want 0s or more")
+	}
+	if class.TotalDeadline > 0 && class.TotalDeadline < class.FirstToken {
+		c.fault(field+".total_deadline", "want no less than first_token")
+	}
+}
+
+func (c *checker) lasting(field string, value time.Duration) {
+	if value <= 0 {
+		c.fault(field, "want more than 0s")
+	}
+}
+
+// checkShare demands a share for every class below the highest tier: without
+// one, strict priority could keep the class waiting for ever.
+func (c *checker) checkShare(field string, class Class, highest id.Tier) {
+	if class.MinimumShare < 0 || class.MinimumShare >= 1 {
+		c.fault(field+".minimum_share", "want a share from 0 to less than 1")
+	}
+	if class.MinimumShare == 0 && class.Tier > highest {
+		c.fault(field+".minimum_share", "want more than 0 below the highest tier, or the class may never be served")
+	}
+}
+
+func (c *checker) checkModels() {
+	for i, model := range c.manifest.Models {
+		if !modelPattern.MatchString(string(model.Name)) {
+			c.fault(fmt.Sprintf("models[%d].name", i), "want letters, digits and '_.:/-', at most 128, the first a letter or digit")
+		}
+	}
+}
+
+func (c *checker) checkUpstreams() {
+	c.notEmpty("upstreams", len(c.manifest.Upstreams))
+	addresses := make(map[string]id.Upstream, len(c.manifest.Upstreams))
+	for i, upstream := range c.manifest.Upstreams {
+		field := fmt.Sprintf("upstreams[%d]", i)
+		c.name(field+".name", string(upstream.Name))
+		c.name(field+".failure_domain", string(upstream.FailureDomain))
+		if err := document.DialAddress(upstream.Address); err != nil {
+			c.fault(field+".address", "%v", err)
+		}
+		if other, taken := addresses[upstream.Address]; taken {
+			c.fault(field+".address", "%q has this address too", other)
+		}
+		addresses[upstream.Address] = upstream.Name
+		c.checkKind(field, upstream)
+	}
+}
+
+func (c *checker) checkKind(field string, upstream Upstream) {
+	if upstream.Capacity.Slots < 1 {
+		c.fault(field+".capacity.slots", "want at least 1")
+	}
+	switch upstream.Kind {
+	case KindEngine:
+		c.checkEngine(field, upstream)
+	case KindService:
+		c.checkServiceWorker(field, upstream)
+	default:
+		c.fault(field+".kind", "want %s or %s", KindEngine, KindService)
+	}
+}
+
+func (c *checker) checkEngine(field string, upstream Upstream) {
+	c.notEmpty(field+".models", len(upstream.Models))
+	seen := map[id.Model]bool{}
+	for i, model := range upstream.Models {
+		reference(c, fmt.Sprintf("%s.models[%d]", field, i), "model", model, c.models, seen)
+	}
+	if upstream.Service != "" {
+		c.fault(field+".service", "an engine has none")
+	}
+	capacity := upstream.Capacity
+	c.rate(field+".capacity.prefill_tokens_per_second", capacity.PrefillTokensPerSecond)
+	c.rate(field+".capacity.decode_tokens_per_second", capacity.DecodeTokensPerSecond)
+	if capacity.KVTokens < 1 {
+		c.fault(field+".capacity.kv_tokens", "want at least 1 for an engine")
+	}
+}
+
+func (c *checker) rate(field string, value float64) {
+	if value <= 0 {
+		c.fault(field, "want more than 0 for an engine")
+	}
+}
+
+func (c *checker) checkServiceWorker(field string, upstream Upstream) {
+	reference(c, field+".service", "service", upstream.Service, c.services, nil)
+	c.absent(field+".models", len(upstream.Models) > 0)
+	c.absent(field+".checks_fencing", upstream.ChecksFencing)
+	c.absent(field+".resumes", upstream.Resumes)
+	capacity := upstream.Capacity
+	c.absent(field+".capacity.prefill_tokens_per_second", capacity.PrefillTokensPerSecond != 0)
+	c.absent(field+".capacity.decode_tokens_per_second", capacity.DecodeTokensPerSecond != 0)
+	c.absent(field+".capacity.kv_tokens", capacity.KVTokens != 0)
+}
+
+func (c *checker) absent(field string, present bool) {
+	if present {
+		c.fault(field, "only an engine has it")
+	}
+}
+
+// reference checks that a name is known and, where seen is not nil, new.
+func reference[N ~string](c *checker, field, what string, name N, known, seen map[N]bool) {
+	switch {
+	case name == "":
+		c.fault(field, "missing")
+	case !known[name]:
+		c.fault(field, "there is no %s %q", what, name)
+	case seen[name]:
+		c.fault(field, "%q is listed twice", name)
+	}
+	if seen != nil {
+		seen[name] = true
+	}
+}
