listener: close the socket when down before Serve has begun

A crash between Listen and the start of Serve closed the server, which did not know the socket yet, so that connections were still accepted.

--- a/standin/listener/listener.go
+++ b/standin/listener/listener.go
@@ -119,12 +119,10 @@
 // before Serve.
 func (l *Listener) Down(d time.Duration) {
 	l.mu.Lock()
-	server := l.server
+	server, socket := l.server, l.socket
 	l.downUntil = time.Now().Add(d)
 	l.mu.Unlock()
-	if server != nil {
-		_ = server.Close()
-	}
+	closeBoth(server, socket)
 }
 
 // Up ends Down early.
@@ -140,14 +138,23 @@
 
 func (l *Listener) close() {
 	l.mu.Lock()
-	server, reserved := l.server, l.reserved
+	server, socket, reserved := l.server, l.socket, l.reserved
 	l.reserved = nil
 	l.mu.Unlock()
+	closeBoth(server, socket)
+	if reserved != nil {
+		_ = reserved.Close()
+	}
+}
+
+// closeBoth closes the socket too, because the server does not know it before
+// its Serve has begun.
+func closeBoth(server *http.Server, socket net.Listener) {
 	if server != nil {
 		_ = server.Close()
 	}
-	if reserved != nil {
-		_ = reserved.Close()
+	if socket != nil {
+		_ = socket.Close()
 	}
 }
 
