--- a/state/manifest/manifest.go
+++ b/state/manifest/manifest.go
@@ -10,57 +10,57 @@
 
 // Manifest is one accepted configuration. It is never changed in place.
 type Manifest struct {
-	Classes    []Class     `yaml:"classes"`
-	Workspaces []Workspace `yaml:"workspaces"`
+	Classes    []Class     `yaml:"classes" jsonschema:"required,minItems=1"`
+	Workspaces []Workspace `yaml:"workspaces" jsonschema:"required,minItems=1"`
 	Models     []Model     `yaml:"models"`
-	Upstreams  []Upstream  `yaml:"upstreams"`
+	Upstreams  []Upstream  `yaml:"upstreams" jsonschema:"required,minItems=1"`
 	Services   []Service   `yaml:"services"`
 }
 
 // Class is a kind of traffic with its targets.
 type Class struct {
 	// Name is unique in the manifest.
-	Name id.Class `yaml:"name"`
+	Name id.Class `yaml:"name" jsonschema:"required,minLength=1"`
 	// Tier is at least 1; 1 is the highest.
-	Tier id.Tier `yaml:"tier"`
+	Tier id.Tier `yaml:"tier" jsonschema:"required,minimum=1,maximum=16"`
 	// FirstToken is the target from arrival to the first token, or to the
 	// whole answer of a plain service.
-	FirstToken time.Duration `yaml:"first_token"`
+	FirstToken time.Duration `yaml:"first_token" jsonschema:"required"`
 	// BetweenTokens is the target for the gap between two tokens.
 	BetweenTokens time.Duration `yaml:"between_tokens,omitempty"`
 	// TotalDeadline bounds a request from arrival to its end.
-	TotalDeadline time.Duration `yaml:"total_deadline"`
+	TotalDeadline time.Duration `yaml:"total_deadline" jsonschema:"required"`
 	// MinimumShare of the grants of a pool goes to the class while it
 	// waits; the shares of all classes add up to less than 1.
-	MinimumShare float64 `yaml:"minimum_share"`
+	MinimumShare float64 `yaml:"minimum_share" jsonschema:"minimum=0,exclusiveMaximum=1"`
 	// QueueBound is the most requests of the class that wait at one home.
-	QueueBound int `yaml:"queue_bound"`
+	QueueBound int `yaml:"queue_bound" jsonschema:"required,minimum=1"`
 	// LargestPrompt bounds the prompts that are put into this class when
 	// the caller names none; 0 means no bound.
-	LargestPrompt id.Tokens `yaml:"largest_prompt,omitempty"`
+	LargestPrompt id.Tokens `yaml:"largest_prompt,omitempty" jsonschema:"minimum=0"`
 }
 
 // Workspace is a customer with its keys and limits.
 type Workspace struct {
 	// Name is unique in the manifest.
-	Name id.Workspace `yaml:"name"`
+	Name id.Workspace `yaml:"name" jsonschema:"required,minLength=1"`
 	// KeySHA256 holds the lower-case hex SHA-256 of each valid bearer key.
-	KeySHA256 []string `yaml:"key_sha256"`
+	KeySHA256 []string `yaml:"key_sha256" jsonschema:"required,minItems=1,pattern=^[0-9a-f]{64}$"`
 	// Classes lists what the workspace may use. A request that names no
 	// class gets the first one whose LargestPrompt admits it.
-	Classes []id.Class `yaml:"classes"`
+	Classes []id.Class `yaml:"classes" jsonschema:"required,minItems=1"`
 	// RequestsPerSecond limits accepted requests over all instances; 0
 	// means no limit.
-	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty"`
+	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty" jsonschema:"minimum=0"`
 	// TokensPerSecond limits prompt and answer tokens over all instances;
 	// 0 means no limit.
-	TokensPerSecond float64 `yaml:"tokens_per_second,omitempty"`
+	TokensPerSecond float64 `yaml:"tokens_per_second,omitempty" jsonschema:"minimum=0"`
 }
 
 // Model is a model that engines can serve.
 type Model struct {
 	// Name is unique in the manifest.
-	Name id.Model `yaml:"name"`
+	Name id.Model `yaml:"name" jsonschema:"required,minLength=1"`
 	// Version names the weights in the weight store.
 	Version string `yaml:"version,omitempty"`
 }
@@ -77,19 +77,19 @@
 // Upstream is one worker of an engine or service.
 type Upstream struct {
 	// Name is unique in the manifest.
-	Name id.Upstream `yaml:"name"`
+	Name id.Upstream `yaml:"name" jsonschema:"required,minLength=1"`
 	// Address is an IP number and a TCP port.
-	Address string `yaml:"address"`
+	Address string `yaml:"address" jsonschema:"required"`
 	// FailureDomain is where the upstream runs.
-	FailureDomain id.FailureDomain `yaml:"failure_domain"`
+	FailureDomain id.FailureDomain `yaml:"failure_domain" jsonschema:"required,minLength=1"`
 	// Kind decides which of the fields below apply.
-	Kind UpstreamKind `yaml:"kind"`
+	Kind UpstreamKind `yaml:"kind" jsonschema:"required,enum=engine,enum=service"`
 	// Models lists what an engine serves; empty for a service.
 	Models []id.Model `yaml:"models,omitempty"`
 	// Service is what a service worker serves; empty for an engine.
 	Service id.Service `yaml:"service,omitempty"`
 	// Capacity bounds the work in progress.
-	Capacity Capacity `yaml:"capacity"`
+	Capacity Capacity `yaml:"capacity" jsonschema:"required"`
 	// ChecksFencing says that the engine refuses orders with an old
 	// fencing number.
 	ChecksFencing bool `yaml:"checks_fencing,omitempty"`
@@ -100,22 +100,22 @@
 // Capacity states what one upstream can carry.
 type Capacity struct {
 	// Slots is the most requests in progress, at least 1.
-	Slots int `yaml:"slots"`
+	Slots int `yaml:"slots" jsonschema:"required,minimum=1"`
 	// PrefillTokensPerSecond is the rate at which prompts are read.
-	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second,omitempty"`
+	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second,omitempty" jsonschema:"exclusiveMinimum=0"`
 	// DecodeTokensPerSecond is the rate over all slots together when all
 	// are busy.
-	DecodeTokensPerSecond float64 `yaml:"decode_tokens_per_second,omitempty"`
+	DecodeTokensPerSecond float64 `yaml:"decode_tokens_per_second,omitempty" jsonschema:"exclusiveMinimum=0"`
 	// KVTokens bounds prompt and answer tokens held at once.
-	KVTokens id.Tokens `yaml:"kv_tokens,omitempty"`
+	KVTokens id.Tokens `yaml:"kv_tokens,omitempty" jsonschema:"minimum=1"`
 }
 
 // Service is a plain service with its routes.
 type Service struct {
 	// Name is unique in the manifest.
-	Name id.Service `yaml:"name"`
+	Name id.Service `yaml:"name" jsonschema:"required,minLength=1"`
 	// Routes lists what callers may call; any other path is refused.
-	Routes []Route `yaml:"routes"`
+	Routes []Route `yaml:"routes" jsonschema:"required,minItems=1"`
 }
 
 // Semantics says how often a call may run.
@@ -132,11 +132,11 @@
 // Route is one call of a service.
 type Route struct {
 	// Method is an HTTP method in capitals.
-	Method string `yaml:"method"`
+	Method string `yaml:"method" jsonschema:"required,enum=GET,enum=HEAD,enum=POST,enum=PUT,enum=PATCH,enum=DELETE"`
 	// Path starts with "/". A final "/*" stands for any rest.
-	Path string `yaml:"path"`
+	Path string `yaml:"path" jsonschema:"required,pattern=^/"`
 	// Semantics decides whether a call may be repeated.
-	Semantics Semantics `yaml:"semantics"`
+	Semantics Semantics `yaml:"semantics" jsonschema:"required,enum=at_most_once,enum=idempotent"`
 	// Class is the class of all calls of the route.
-	Class id.Class `yaml:"class"`
+	Class id.Class `yaml:"class" jsonschema:"required,minLength=1"`
 }
