queue: grant upstream slots by tier, target and workspace

Adds the queue of a home as a state machine: strict tiers with a bounded minimum share, start-time fair queueing over workspaces, early refusal, preemption of resumable work, leases, and the choice of the upstream from own counts, late reports, speed, health and prompt prefixes.

--- /dev/null
+++ b/coordination/queue/gate.go
@@ -0,0 +1,137 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"samphirehead/coordination/suspect"
+	"samphirehead/state/id"
+)
+
+// mayQueue reports whether one more request of w's fingerprint may be queued or
+// running beside the present ones.
+func (q *Queue) mayQueue(now time.Time, w *waiter) bool {
+	return q.copies[w.Fingerprint] < q.copyLimit(now, w.Fingerprint)
+}
+
+// park keeps a waiter out of its line until a request of the same fingerprint
+// ends.
+func (q *Queue) park(w *waiter) {
+	if w.line.class.waiting >= w.line.class.QueueBound {
+		q.timers.remove(w.timerIndex)
+		delete(q.waiters, w.Reservation)
+		q.emit(Refused{w.Reservation, RefusedQueueFull, defaultRetryAfter})
+		return
+	}
+	w.parked = true
+	w.line.class.waiting++
+	q.parked[w.Fingerprint] = append(q.parked[w.Fingerprint], w)
+}
+
+func (q *Queue) unpark(w *waiter) {
+	f := w.Fingerprint
+	w.parked = false
+	w.line.class.waiting--
+	q.parked[f] = slices.DeleteFunc(q.parked[f], func(x *waiter) bool { return x == w })
+	if len(q.parked[f]) == 0 {
+		delete(q.parked, f)
+	}
+}
+
+// count adds to the queued and running requests of a fingerprint.
+func (q *Queue) count(f id.Fingerprint, change int) {
+	if f == 0 || q.Suspects == nil {
+		return
+	}
+	q.copies[f] += change
+	if q.copies[f] <= 0 {
+		delete(q.copies, f)
+	}
+}
+
+// settle lets the parked waiters of a fingerprint in as far as its limit
+// allows, or refuses them when it is quarantined.
+func (q *Queue) settle(now time.Time, f id.Fingerprint) {
+	limit := q.copyLimit(now, f)
+	for len(q.parked[f]) > 0 {
+		w := q.parked[f][0]
+		if limit == 0 {
+			q.refuse(now, w, RefusedQuarantined, 0)
+			continue
+		}
+		if q.copies[f] >= limit {
+			return
+		}
+		q.unpark(w)
+		q.enqueue(w)
+		if !w.FirstTokenBy.After(now) && !w.front() {
+			w.line.miss(w)
+		}
+	}
+}
+
+// crash tells the suspects' tracker of a crash, once for all that was in
+// flight. Queued requests of fingerprints that it quarantines are refused.
+func (q *Queue) crash(now time.Time, r *running) {
+	u := r.worker
+	if !r.grantedAt.After(u.crashedAt) {
+		return
+	}
+	u.crashedAt = now
+	u.Health.Crashed(now)
+	q.affinity.Forget(u.Name)
+	if q.Suspects == nil {
+		return
+	}
+	ev := suspect.Crashed{Upstream: u.Name}
+	for _, other := range u.sortedRunning() {
+		ev.InFlight = append(ev.InFlight, suspect.InFlight{Request: other.Request, Fingerprint: other.Fingerprint})
+	}
+	q.track(now, ev)
+}
+
+// track passes an event to the suspects' tracker and carries its effects out.
+func (q *Queue) track(now time.Time, ev suspect.Event) {
+	for _, effect := range q.Suspects.Step(now, ev) {
+		switch effect := effect.(type) {
+		case suspect.Spread:
+			q.emit(CrashSeen{effect.Records})
+		case suspect.QuarantineBegan:
+			q.refuseAll(now, effect.Fingerprint)
+		}
+	}
+}
+
+func (q *Queue) refuseAll(now time.Time, f id.Fingerprint) {
+	for _, w := range q.sortedWaiters() {
+		if w.Fingerprint == f {
+			q.refuse(now, w, RefusedQuarantined, 0)
+		}
+	}
+}
+
+func (q *Queue) suspected(now time.Time, f id.Fingerprint) bool {
+	return q.Suspects != nil && f != 0 && q.Suspects.Verdict(now, f) == suspect.Suspected
+}
+
+// apart reports whether w may run beside what u runs: a suspect runs beside no
+// other suspect, and no two requests of an unproven fingerprint run together.
+func (q *Queue) apart(now time.Time, w *waiter, u *worker) bool {
+	if q.Suspects == nil || w.Fingerprint == 0 {
+		return true
+	}
+	unproven := q.copyLimit(now, w.Fingerprint) < suspect.Unlimited
+	if !unproven {
+		return true
+	}
+	doubtful := q.suspected(now, w.Fingerprint)
+	for _, r := range u.running {
+		if r.Fingerprint == w.Fingerprint {
+			return false
+		}
+		if doubtful && q.suspected(now, r.Fingerprint) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/coordination/queue/line.go
@@ -0,0 +1,188 @@
+package queue
+
+import (
+	"time"
+
+	"samphirehead/state/id"
+)
+
+// line is the queue of one class in one pool. Workspaces share its grants by
+// start-time fair queueing over tokens: each has a tag, which rises by the
+// tokens that it is charged; the lowest tag goes next.
+type line struct {
+	class *class
+	pool  *pool
+	flows map[id.Workspace]*flow
+	// lanes order the flows with waiters in the lane by tag.
+	lanes [laneCount]heap[*flow]
+	// idle orders the flows without waiters by tag.
+	idle heap[*flow]
+	// crowded has the flow with the most waiters first.
+	crowded heap[*flow]
+	// virtual is the largest start tag granted so far; it never falls.
+	virtual float64
+	// finish is the largest tag ever set; virtual rises to it when nothing
+	// waits any more, which forgives all debts.
+	finish  float64
+	waiting int
+	// credit is the grants that the class is owed by its minimum share;
+	// 0 while nothing waits.
+	credit float64
+	// due orders the lines that are owed a grant; 0 when not owed.
+	due uint64
+	// arrivedAt is when the class last asked for a slot in this pool.
+	arrivedAt time.Time
+}
+
+func newLine(c *class, p *pool) *line {
+	l := &line{class: c, pool: p, flows: map[id.Workspace]*flow{}}
+	byTag := func(a, b *flow) bool {
+		if a.tag != b.tag {
+			return a.tag < b.tag
+		}
+		return a.workspace < b.workspace
+	}
+	for i := range l.lanes {
+		l.lanes[i].less = byTag
+		l.lanes[i].place = func(f *flow, at int) { f.laneIndex[i] = at }
+	}
+	l.idle.less = byTag
+	l.idle.place = func(f *flow, at int) { f.idleIndex = at }
+	l.crowded.less = func(a, b *flow) bool {
+		if a.waiting != b.waiting {
+			return a.waiting > b.waiting
+		}
+		return a.workspace < b.workspace
+	}
+	l.crowded.place = func(f *flow, at int) { f.crowdIndex = at }
+	return l
+}
+
+// flow returns the flow of a workspace, an idle one if there is none.
+func (l *line) flow(w id.Workspace) *flow {
+	f := l.flows[w]
+	if f == nil {
+		f = newFlow(w, l.virtual)
+		l.flows[w] = f
+		l.idle.push(f)
+	}
+	return f
+}
+
+func (l *line) add(w *waiter) {
+	f := l.flow(w.Workspace)
+	w.line, w.flow = l, f
+	l.waiting++
+	l.class.waiting++
+	f.waiting++
+	if f.waiting == 1 {
+		l.idle.remove(f.idleIndex)
+		f.tag = max(f.tag, l.virtual)
+		l.crowded.push(f)
+	} else {
+		l.crowded.fix(f.crowdIndex)
+	}
+	l.enter(w, onTime)
+}
+
+func (l *line) enter(w *waiter, to lane) {
+	w.lane = to
+	f := w.flow
+	f.lanes[to].push(w)
+	if f.laneIndex[to] < 0 {
+		l.lanes[to].push(f)
+	}
+}
+
+func (l *line) leave(w *waiter) {
+	f := w.flow
+	f.lanes[w.lane].remove(w.laneIndex)
+	if len(f.lanes[w.lane].items) == 0 {
+		l.lanes[w.lane].remove(f.laneIndex[w.lane])
+	}
+}
+
+// miss moves a waiter to the late lane.
+func (l *line) miss(w *waiter) {
+	l.leave(w)
+	l.enter(w, late)
+}
+
+func (l *line) remove(w *waiter) {
+	l.leave(w)
+	f := w.flow
+	l.waiting--
+	l.class.waiting--
+	f.waiting--
+	if f.waiting > 0 {
+		l.crowded.fix(f.crowdIndex)
+		return
+	}
+	l.crowded.remove(f.crowdIndex)
+	l.idle.push(f)
+	if l.waiting == 0 {
+		l.credit = 0
+		l.due = 0
+	}
+}
+
+// grant removes a waiter and charges its workspace.
+func (l *line) grant(w *waiter) {
+	start := w.flow.tag
+	l.remove(w)
+	l.virtual = max(l.virtual, start)
+	l.charge(w.Workspace, float64(w.cost))
+	if l.waiting == 0 {
+		l.virtual = max(l.virtual, l.finish)
+	}
+	l.forget()
+}
+
+// charge moves the tag of a workspace by tokens, which may be below 0.
+func (l *line) charge(w id.Workspace, tokens float64) {
+	if tokens == 0 {
+		return
+	}
+	f := l.flow(w)
+	f.tag += tokens
+	l.finish = max(l.finish, f.tag)
+	if f.idleIndex >= 0 {
+		l.idle.fix(f.idleIndex)
+	}
+	for i, at := range f.laneIndex {
+		if at >= 0 {
+			l.lanes[i].fix(at)
+		}
+	}
+}
+
+// forget drops idle workspaces that have no debt left.
+func (l *line) forget() {
+	for {
+		f, ok := l.idle.first()
+		if !ok || f.tag > l.virtual {
+			return
+		}
+		l.idle.remove(0)
+		delete(l.flows, f.workspace)
+	}
+}
+
+// next returns the waiters to try first in a lane, in order. Of the flows
+// behind the first only a few are tried, for when a request's own limits keep
+// it from all free slots.
+func (l *line) next(from lane) []*flow {
+	flows := l.lanes[from].items
+	return flows[:min(len(flows), candidateFlows)]
+}
+
+// active returns the number of workspaces that wait.
+func (l *line) active() int { return len(l.crowded.items) }
+
+// protected returns how many waiters may not be displaced by higher tiers.
+func (l *line) protected() int {
+	if l.class.MinimumShare > 0 {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/coordination/queue/waiter.go
@@ -0,0 +1,93 @@
+package queue
+
+import (
+	"time"
+
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+// waiter is a reservation without a slot.
+type waiter struct {
+	Arrived
+	// sequence orders arrivals.
+	sequence uint64
+	line     *line
+	flow     *flow
+	lane     lane
+	// laneIndex is the place in the flow's heap of that lane.
+	laneIndex int
+	// timerAt is the target while the waiter is on time, then the deadline.
+	timerAt    time.Time
+	timerIndex int
+	// need is the KV tokens that it is expected to hold at most.
+	need id.Tokens
+	// cost is the tokens that its workspace is charged on a grant.
+	cost id.Tokens
+	// parked waiters are kept out of their line; see Queue.park.
+	parked bool
+	// waitsSince is when it arrived.
+	waitsSince time.Time
+}
+
+// front reports whether the work was granted before: it goes before new work
+// of its workspace.
+func (w *waiter) front() bool { return w.ResumeOffset > 0 || w.Attempt > 0 }
+
+func (w *waiter) excludes(u id.Upstream) bool {
+	for _, x := range w.Excluded {
+		if x == u {
+			return true
+		}
+	}
+	return false
+}
+
+func waiterBefore(a, b *waiter) bool {
+	if a.front() != b.front() {
+		return a.front()
+	}
+	if !a.FirstTokenBy.Equal(b.FirstTokenBy) {
+		return a.FirstTokenBy.Before(b.FirstTokenBy)
+	}
+	return a.sequence < b.sequence
+}
+
+// lane separates waiters by whether their target can still be met.
+type lane int
+
+const (
+	onTime lane = iota
+	late
+	laneCount
+)
+
+// flow is the waiters of one workspace in one line.
+type flow struct {
+	workspace id.Workspace
+	// tag is the virtual time at which the workspace's next grant starts.
+	tag     float64
+	lanes   [laneCount]heap[*waiter]
+	waiting int
+	// laneIndex, idleIndex and crowdIndex are places in the line's heaps.
+	laneIndex  [laneCount]int
+	idleIndex  int
+	crowdIndex int
+}
+
+func newFlow(w id.Workspace, tag float64) *flow {
+	f := &flow{workspace: w, tag: tag, idleIndex: -1, crowdIndex: -1}
+	for l := range f.lanes {
+		f.laneIndex[l] = -1
+		f.lanes[l].less = waiterBefore
+		f.lanes[l].place = func(w *waiter, i int) { w.laneIndex = i }
+	}
+	return f
+}
+
+// class is the state of one class over all pools.
+type class struct {
+	manifest.Class
+	// waiting is the number of waiters in all pools.
+	waiting int
+}
