--- /dev/null
+++ b/instance/entry/entry.go
@@ -0,0 +1,96 @@
+// Package entry serves callers' requests: it classifies them, reserves slots,
+// streams answers, and retries what may be retried.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/coordination/queue"
+	"samphirehead/instance/dispatch"
+	"samphirehead/protocol/answer"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/metrics"
+	"samphirehead/transport/engine"
+)
+
+const (
+	// maxAttempts bounds the upstreams that one request is sent to.
+	maxAttempts = 4
+	// defaultRetryAfter is told when the queue names no time.
+	defaultRetryAfter = time.Second
+)
+
+// Admission decides before a request is queued; nil admits.
+type Admission func(workspace id.Workspace, tokens id.Tokens) *answer.Failure
+
+// Entry serves requests over a Dispatcher. Exported fields are set before the
+// first request.
+type Entry struct {
+	Dispatcher dispatch.Dispatcher
+	Engines    *engine.Client
+	Metrics    *metrics.Registry
+	// Index is the manifest in force.
+	Index func() *manifest.Index
+	// Admit applies the workspace's limits.
+	Admit Admission
+	// Used corrects the limits by the real use of an admitted request.
+	Used func(workspace id.Workspace, admitted, used id.Tokens)
+	// Crashed hears of each upstream that broke under a request.
+	Crashed func(u id.Upstream, request id.Request, f id.Fingerprint)
+}
+
+// classified is a request with the class it runs in.
+type classified struct {
+	class   manifest.Class
+	failure *answer.Failure
+}
+
+func (e *Entry) classify(x *manifest.Index, ws id.Workspace, tokens id.Tokens, wanted id.Class) classified {
+	class, err := x.Classify(ws, tokens, wanted)
+	switch {
+	case err == nil:
+		return classified{class: class}
+	case errors.Is(err, manifest.ErrPromptTooLarge):
+		return classified{failure: &answer.Failure{Reason: answer.ReasonTooLarge, Message: err.Error()}}
+	default:
+		return classified{failure: &answer.Failure{Reason: answer.ReasonForbidden, Message: err.Error()}}
+	}
+}
+
+// refusalFailure explains a reservation that got no slot.
+func refusalFailure(err error) answer.Failure {
+	var refusal *dispatch.Refusal
+	if !errors.As(err, &refusal) {
+		return contextFailure(err)
+	}
+	f := answer.Failure{RetryAfter: refusal.RetryAfter, Message: refusal.Error()}
+	switch refusal.Reason {
+	case queue.RefusedNoUpstream:
+		f.Reason = answer.ReasonNoUpstream
+	case queue.RefusedQuarantined:
+		f.Reason = answer.ReasonQuarantined
+		f.Message = "equal requests have crashed upstreams; this one is not run"
+		return f
+	case queue.RefusedUnknownClass:
+		f.Reason = answer.ReasonNotReady
+	default:
+		f.Reason = answer.ReasonOverloaded
+		f.Message = "the class's latency target can't be met now: " + string(refusal.Reason)
+	}
+	if f.RetryAfter <= 0 {
+		f.RetryAfter = defaultRetryAfter
+	}
+	return f
+}
+
+// contextFailure explains the end of a request's context.
+func contextFailure(err error) answer.Failure {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return answer.Failure{Reason: answer.ReasonDeadline, Message: "the class's total deadline has passed", RetryAfter: defaultRetryAfter}
+	}
+	return answer.Failure{Reason: answer.ReasonCancelled, Message: "the caller has gone"}
+}
--- /dev/null
+++ b/instance/entry/generate.go
@@ -0,0 +1,276 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/queue"
+	"samphirehead/instance/dispatch"
+	"samphirehead/protocol/answer"
+	"samphirehead/protocol/openai"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/metrics"
+	"samphirehead/transport/caller"
+	"samphirehead/transport/engine"
+)
+
+const (
+	// firstTokenTimeout bounds the wait of a sent request for its first
+	// token, tokenTimeout for each later one.
+	firstTokenTimeout = 20 * time.Second
+	tokenTimeout      = 5 * time.Second
+	// prefixBlockBytes is the part of a prompt that one prefix hash covers.
+	prefixBlockBytes = 1024
+	maxPrefixBlocks  = 32
+)
+
+// errPreempted ends an attempt whose slot is wanted for higher work.
+var errPreempted = errors.New("preempted")
+
+// errCallerGone ends an attempt whose answer can't be delivered.
+var errCallerGone = errors.New("the caller is gone")
+
+// generation is the state of one request over its attempts. It belongs to one
+// goroutine.
+type generation struct {
+	entry    *Entry
+	in       caller.Generation
+	class    manifest.Class
+	sink     caller.Sink
+	progress answer.Progress
+	need     queue.Arrived
+	// next is the number of tokens that the caller has; it never falls.
+	next id.Tokens
+	// attempts counts the upstreams that the request was sent to.
+	attempts   int
+	queueWait  time.Duration
+	firstToken time.Duration
+	lastToken  time.Time
+}
+
+// Generate runs a chat completion and delivers its answer to sink.
+func (e *Entry) Generate(ctx context.Context, in caller.Generation, sink caller.Sink) answer.Result {
+	var nothing answer.Progress
+	x := e.Index()
+	if !x.HasModel(in.Chat.Model) {
+		return nothing.End(answer.Failure{Reason: answer.ReasonNotFound, Message: "no such model: " + string(in.Chat.Model)})
+	}
+	c := e.classify(x, in.Workspace, in.Chat.PromptTokens, in.Class)
+	if c.failure != nil {
+		return nothing.End(*c.failure)
+	}
+	admitted := in.Chat.PromptTokens
+	if f := e.Admit(in.Workspace, admitted); f != nil {
+		return nothing.End(*f)
+	}
+	g := &generation{entry: e, in: in, class: c.class, sink: sink, queueWait: -1, firstToken: -1}
+	g.need = g.newNeed()
+	ctx, cancel := context.WithDeadline(ctx, g.need.Deadline)
+	defer cancel()
+	result := g.run(ctx)
+	e.Used(in.Workspace, admitted, in.Chat.PromptTokens+g.next)
+	g.observe(result)
+	return result
+}
+
+func (g *generation) newNeed() queue.Arrived {
+	return queue.Arrived{
+		Request:      g.in.Request,
+		Pool:         id.ModelPool(g.in.Chat.Model),
+		Class:        g.class.Name,
+		Workspace:    g.in.Workspace,
+		PromptTokens: g.in.Chat.PromptTokens,
+		FirstTokenBy: g.in.Arrived.Add(g.class.FirstToken),
+		Deadline:     g.in.Arrived.Add(g.class.TotalDeadline),
+		Prefix:       prefixHashes(g.in.Chat),
+		Fingerprint:  fingerprint(g.in),
+	}
+}
+
+// fingerprint is equal for equal requests of one workspace.
+func fingerprint(in caller.Generation) id.Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(in.Workspace))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(in.Chat.Body)
+	return id.Fingerprint(h.Sum64())
+}
+
+// prefixHashes covers the leading whole blocks of the prompt, each hash with
+// all that comes before it.
+func prefixHashes(chat *openai.ChatRequest) []uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(chat.Model))
+	var hashes []uint64
+	filled := 0
+	for _, m := range chat.Messages {
+		for len(m) > 0 && len(hashes) < maxPrefixBlocks {
+			n := min(prefixBlockBytes-filled, len(m))
+			_, _ = h.Write(m[:n])
+			m, filled = m[n:], filled+n
+			if filled == prefixBlockBytes {
+				hashes, filled = append(hashes, h.Sum64()), 0
+			}
+		}
+	}
+	return hashes
+}
+
+// run reserves and streams until the answer is whole or given up.
+func (g *generation) run(ctx context.Context) answer.Result {
+	for {
+		g.need.Reservation = id.Reservation(uuid.NewString())
+		g.need.ResumeOffset = g.next
+		grant, err := g.entry.Dispatcher.Reserve(ctx, g.need)
+		if err != nil {
+			return g.progress.End(refusalFailure(err))
+		}
+		if g.queueWait < 0 {
+			g.queueWait = grant.Wait
+		}
+		err = g.attempt(ctx, grant)
+		if err == nil {
+			return answer.Completed{}
+		}
+		if failure, over := g.giveUp(ctx, grant, err); over {
+			return g.progress.End(failure)
+		}
+	}
+}
+
+// attempt streams from one upstream and releases its slot.
+func (g *generation) attempt(ctx context.Context, grant *dispatch.Grant) error {
+	began := time.Now()
+	first := time.Duration(0)
+	offset := g.next
+	g.attempts++
+	g.need.Attempt++
+	ctx, stop := untilPreempted(ctx, grant)
+	defer stop()
+	g.progress.Sending()
+	_, err := g.entry.Engines.Stream(ctx, engine.Request{
+		Address:           grant.Upstream.Address,
+		Request:           g.in.Request,
+		Attempt:           g.attempts,
+		Tier:              g.class.Tier,
+		Offset:            offset,
+		Body:              g.in.Chat.Body,
+		FirstTokenTimeout: firstTokenTimeout,
+		TokenTimeout:      tokenTimeout,
+	}, func(ev openai.Event) error {
+		if first == 0 {
+			first = max(time.Since(began), 1)
+		}
+		return g.deliver(grant, ev)
+	})
+	g.entry.Dispatcher.Release(grant, dispatch.Ending{
+		Outcome:    endingOf(ctx, err),
+		Tokens:     g.next,
+		FirstToken: first,
+	})
+	return err
+}
+
+// untilPreempted returns a context that ends too when the slot is wanted back.
+func untilPreempted(ctx context.Context, grant *dispatch.Grant) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(grant.Preempted(), func() { cancel(errPreempted) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// deliver hands one event to the caller. The last event of an answer is the
+// only one that may lack content.
+func (g *generation) deliver(grant *dispatch.Grant, ev openai.Event) error {
+	if err := g.sink.Deliver(ev); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	if ev.Content == "" {
+		return nil
+	}
+	now := time.Now()
+	if g.firstToken < 0 {
+		g.firstToken = now.Sub(g.in.Arrived)
+	} else {
+		g.entry.Metrics.Gap(g.class.Name, now.Sub(g.lastToken))
+	}
+	g.lastToken = now
+	g.next++
+	grant.Deliver(g.next)
+	return nil
+}
+
+// endingOf maps the error of an attempt to the outcome that its home learns.
+func endingOf(ctx context.Context, err error) queue.Outcome {
+	switch {
+	case err == nil:
+		return queue.Completed
+	case errors.Is(err, errPreempted):
+		return queue.OutcomePreempted
+	case errors.Is(err, engine.ErrNotSent):
+		return queue.Unreachable
+	case errors.Is(err, engine.ErrStalled):
+		return queue.Unreachable
+	case errors.Is(err, engine.ErrRefused):
+		return queue.Failed
+	case errors.Is(err, errCallerGone), ctx.Err() != nil:
+		return queue.Cancelled
+	default:
+		return queue.Crashed
+	}
+}
+
+// giveUp decides whether a failed attempt is the last one.
+func (g *generation) giveUp(ctx context.Context, grant *dispatch.Grant, err error) (answer.Failure, bool) {
+	klog.V(1).InfoS("attempt failed", "request", g.in.Request, "workspace", g.in.Workspace, "class", g.class.Name,
+		"upstream", grant.Upstream.Name, "attempt", g.attempts, "delivered", g.next, "err", err)
+	if errors.Is(err, errPreempted) {
+		g.attempts--
+		return answer.Failure{}, false
+	}
+	if errors.Is(err, errCallerGone) || ctx.Err() != nil {
+		return contextFailure(context.Cause(ctx)), true
+	}
+	if endingOf(ctx, err) == queue.Crashed {
+		g.entry.Crashed(grant.Upstream.Name, g.in.Request, g.need.Fingerprint)
+	}
+	resumable := g.next == 0 || grant.Upstream.Resumes
+	if !resumable || g.attempts >= maxAttempts {
+		return answer.Failure{Reason: answer.ReasonUpstream, Message: "the upstream failed and the answer can't be resumed", RetryAfter: defaultRetryAfter}, true
+	}
+	if !slices.Contains(g.need.Excluded, grant.Upstream.Name) {
+		g.need.Excluded = append(g.need.Excluded, grant.Upstream.Name)
+	}
+	return answer.Failure{}, false
+}
+
+func (g *generation) observe(result answer.Result) {
+	g.entry.Metrics.Observe(metrics.Observation{
+		Class:      g.class.Name,
+		Workspace:  g.in.Workspace,
+		Outcome:    outcomeOf(result),
+		QueueWait:  g.queueWait,
+		FirstToken: g.firstToken,
+		Tokens:     g.next,
+	})
+}
+
+func outcomeOf(result answer.Result) metrics.Outcome {
+	switch result.(type) {
+	case answer.Completed:
+		return metrics.Completed
+	case answer.NotRun:
+		return metrics.NotRun
+	default:
+		return metrics.Unknown
+	}
+}
--- /dev/null
+++ b/transport/service/service.go
@@ -0,0 +1,135 @@
+// Package service is the client of plain services.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/state/fault"
+)
+
+const (
+	dialTimeout      = 500 * time.Millisecond
+	maxAnswerBytes   = 4 << 20
+	idleConnsPerHost = 64
+)
+
+// Call is one attempt at a call of a plain service.
+type Call struct {
+	// Address is the worker's IP number and port.
+	Address string
+	Method  string
+	// Target is the path with its query.
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is what a plain service answered.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Client calls plain services. Its zero value is ready. It is safe for
+// concurrent use.
+type Client struct {
+	once       sync.Once
+	repeatable *http.Client
+	single     *http.Client
+}
+
+// Attempt is the end of one attempt: Answered, NothingSent or MayHaveSent.
+type Attempt interface{ attempt() }
+
+// Answered holds a whole answer.
+type Answered struct{ Answer Answer }
+
+// NothingSent says that no byte of the call left this process.
+type NothingSent struct{ Err error }
+
+// MayHaveSent says that the call may have reached the service.
+type MayHaveSent struct{ Err error }
+
+func (Answered) attempt()    {}
+func (NothingSent) attempt() {}
+func (MayHaveSent) attempt() {}
+
+func (c *Client) init() {
+	c.repeatable = &http.Client{Transport: newTransport(false), CheckRedirect: keepRedirect}
+	c.single = &http.Client{Transport: newTransport(true), CheckRedirect: keepRedirect}
+}
+
+// newTransport returns a pooled transport, or one that makes a connection for
+// each call: net/http by itself repeats a call that has an Idempotency-Key
+// header when a kept connection breaks.
+func newTransport(single bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   single,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		DisableCompression:  true,
+	}
+}
+
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Once makes an attempt that sends the call at most once.
+func (c *Client) Once(ctx context.Context, call Call) Attempt {
+	c.once.Do(c.init)
+	return do(ctx, c.single, call)
+}
+
+// Repeatable makes an attempt at a call that may run more than once.
+func (c *Client) Repeatable(ctx context.Context, call Call) Attempt {
+	c.once.Do(c.init)
+	return do(ctx, c.repeatable, call)
+}
+
+func do(ctx context.Context, client *http.Client, call Call) Attempt {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	answer, err := exchange(ctx, client, call)
+	switch {
+	case err == nil:
+		return Answered{Answer: answer}
+	case !connected.Load():
+		return NothingSent{Err: err}
+	default:
+		return MayHaveSent{Err: err}
+	}
+}
+
+func exchange(ctx context.Context, client *http.Client, call Call) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Target, bytes.NewReader(call.Body))
+	if err != nil {
+		return Answer{}, fault.At("make request", call.Address, err)
+	}
+	req.Header = call.Header.Clone()
+	resp, err := client.Do(req)
+	if err != nil {
+		return Answer{}, fault.At("call service", call.Address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, fault.At("read answer", call.Address, err)
+	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, fault.At("read answer", call.Address, errors.New("the answer is larger than 4 MiB"))
+	}
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
