operator: serve and call the operators' protocol

The server asks a Backend that the instance implements, and refuses every request without the operator secret. Apply has four results, a sealed type; an error means that nothing was accepted. The client repeats a call whose answer was lost with the same operation. A conflict after a lost answer may mean that the lost call was accepted and then succeeded by another operator's manifest, so the client looks the operation up in the history before it reports one.

--- /dev/null
+++ b/transport/operator/apply.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+// DefaultRetryPause separates the attempts of Apply.
+const DefaultRetryPause = 500 * time.Millisecond
+
+// applyAttempts bounds the calls that one Apply makes.
+const applyAttempts = 3
+
+// Submission is a manifest to be applied.
+type Submission struct {
+	// Base is the version that the manifest was made against; 0 means none.
+	Base id.ManifestVersion
+	// YAML is the manifest.
+	YAML []byte
+	// Operation is new for each submission and the same for its repeats.
+	Operation id.Attempt
+	// Repeated says that an earlier Apply of the submission had no known
+	// outcome.
+	Repeated bool
+}
+
+// Apply submits a manifest. It repeats calls whose answer is lost, and returns
+// Unknown where that settles nothing. An error means that nothing was
+// accepted.
+func (c *Client) Apply(ctx context.Context, s Submission) (ApplyResult, error) {
+	var doubt error
+	if s.Repeated {
+		doubt = errors.New("the outcome of an earlier call is unknown")
+	}
+	for attempt := 1; ; attempt++ {
+		result, err := c.applyOnce(ctx, s)
+		if err == nil {
+			return c.settle(ctx, s, result, doubt), nil
+		}
+		var failure *applyFailure
+		if errors.As(err, &failure) && failure.ambiguous {
+			doubt = err
+		} else if doubt == nil {
+			return nil, fault.At("apply manifest", c.Address, err)
+		}
+		if attempt == applyAttempts || !c.pause(ctx) {
+			return Unknown{Cause: fault.At("apply manifest", c.Address, doubt).Error()}, nil
+		}
+	}
+}
+
+// applyFailure is a call without a result.
+type applyFailure struct {
+	// ambiguous says that the manifest may have been accepted.
+	ambiguous bool
+	cause     error
+}
+
+func (e *applyFailure) Error() string { return e.cause.Error() }
+func (e *applyFailure) Unwrap() error { return e.cause }
+
+func (c *Client) applyOnce(ctx context.Context, s Submission) (ApplyResult, error) {
+	query := struct {
+		Base id.ManifestVersion `url:"base"`
+	}{s.Base}
+	answer, err := c.call(ctx, c.request().
+		Post(pathManifest).
+		QueryStruct(query).
+		Set("Content-Type", "application/yaml").
+		Set(HeaderOperation, string(s.Operation)).
+		Body(bytes.NewReader(s.YAML)))
+	if err != nil {
+		return nil, &applyFailure{ambiguous: !dialFailed(err), cause: err}
+	}
+	return answer.applyResult()
+}
+
+// dialFailed says that no connection was made, so nothing was sent.
+func dialFailed(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func (a *answer) applyResult() (ApplyResult, error) {
+	var body struct {
+		Version    id.ManifestVersion `json:"version"`
+		Current    id.ManifestVersion `json:"current"`
+		Difference []manifest.Change  `json:"difference"`
+		Faults     []manifest.Fault   `json:"faults"`
+	}
+	decodeErr := json.Unmarshal(a.body, &body)
+	switch {
+	case a.status == http.StatusOK && decodeErr == nil && body.Version > 0:
+		return Accepted{Version: body.Version}, nil
+	case a.status == http.StatusConflict && decodeErr == nil:
+		return Conflict{Current: body.Current, Difference: body.Difference}, nil
+	case a.status == http.StatusUnprocessableEntity && decodeErr == nil:
+		return Invalid{Faults: body.Faults}, nil
+	default:
+		return nil, &applyFailure{ambiguous: a.ambiguous(), cause: a.err()}
+	}
+}
+
+// ambiguous says that the answer leaves open whether the call took effect.
+// Refusals, and 503 by the protocol, mean that it did not.
+func (a *answer) ambiguous() bool {
+	refused := a.status >= 400 && a.status < 500
+	return !refused && a.status != http.StatusServiceUnavailable
+}
+
+// settle decides what a conflict means after a call whose answer was lost:
+// that call may have been accepted and then succeeded by another operator's.
+func (c *Client) settle(ctx context.Context, s Submission, result ApplyResult, doubt error) ApplyResult {
+	conflict, refused := result.(Conflict)
+	if !refused || doubt == nil {
+		return result
+	}
+	revisions, err := c.History(ctx, maxHistory)
+	if err != nil {
+		doubt = err
+	}
+	for _, revision := range revisions {
+		if revision.Operation == s.Operation {
+			return Accepted{Version: revision.Version}
+		}
+		if revision.Version == s.Base+1 {
+			return conflict
+		}
+	}
+	return Unknown{Cause: doubt.Error()}
+}
+
+func (c *Client) pause(ctx context.Context) bool {
+	pause := c.RetryPause
+	if pause == 0 {
+		pause = DefaultRetryPause
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
--- /dev/null
+++ b/transport/operator/server.go
@@ -0,0 +1,219 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"samphirehead/state/document"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/settings"
+)
+
+// The bounds of the number of revisions in an answer.
+const (
+	defaultHistory = 20
+	maxHistory     = 1000
+)
+
+// maxDrainBody bounds the body of a drain request in bytes.
+const maxDrainBody = 4 << 10
+
+// Server serves operators. Its fields are set before Handler is called.
+type Server struct {
+	// Secret is what every request has to bear; with an empty one all are
+	// refused.
+	Secret settings.Secret
+	// Backend is never nil.
+	Backend Backend
+	// Metrics serves the metrics; nil stands for expvar's handler.
+	Metrics http.Handler
+}
+
+// Handler returns the handler of the operators' listener.
+func (s *Server) Handler() http.Handler {
+	metrics := s.Metrics
+	if metrics == nil {
+		metrics = expvar.Handler()
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathManifest, s.apply)
+	mux.HandleFunc("GET "+pathManifest, s.show)
+	mux.HandleFunc("GET "+pathHistory, s.history)
+	mux.HandleFunc("GET "+pathStatus, s.status)
+	mux.HandleFunc("POST "+pathDrain, s.drain)
+	mux.Handle("GET "+pathMetrics, metrics)
+	return s.authenticate(mux)
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		scheme, given, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+		if !strings.EqualFold(scheme, "Bearer") || !s.Secret.Matches(given) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeError(w, http.StatusUnauthorized, "the operator secret is missing or wrong")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "base: want the number of the version in force, or 0")
+		return
+	}
+	operation := r.Header.Get(HeaderOperation)
+	if err := document.CheckName(operation); err != nil {
+		writeError(w, http.StatusBadRequest, HeaderOperation+": "+err.Error())
+		return
+	}
+	yaml, ok := readBody(w, r, manifest.MaxSize)
+	if !ok {
+		return
+	}
+	result, err := s.Backend.Apply(r.Context(), id.ManifestVersion(base), yaml, id.Attempt(operation))
+	if err != nil {
+		writeBackendError(w, err)
+		return
+	}
+	writeApplyResult(w, result)
+}
+
+func writeApplyResult(w http.ResponseWriter, result ApplyResult) {
+	switch result := result.(type) {
+	case Accepted:
+		writeJSON(w, http.StatusOK, struct {
+			Version id.ManifestVersion `json:"version"`
+		}{result.Version})
+	case Conflict:
+		writeJSON(w, http.StatusConflict, struct {
+			Current    id.ManifestVersion `json:"current"`
+			Difference []manifest.Change  `json:"difference"`
+		}{result.Current, nonNil(result.Difference)})
+	case Invalid:
+		writeJSON(w, http.StatusUnprocessableEntity, struct {
+			Faults []manifest.Fault `json:"faults"`
+		}{result.Faults})
+	case Unknown:
+		writeError(w, http.StatusGatewayTimeout, "the manifest may have been accepted: "+result.Cause)
+	default:
+		writeError(w, http.StatusInternalServerError, "the instance gave no result")
+	}
+}
+
+func (s *Server) show(w http.ResponseWriter, r *http.Request) {
+	version, yaml, err := s.Backend.Manifest(r.Context())
+	if err != nil {
+		writeBackendError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/yaml")
+	w.Header().Set(HeaderManifestVersion, strconv.FormatUint(uint64(version), 10))
+	_, _ = w.Write(yaml)
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	limit := defaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		given, err := strconv.Atoi(text)
+		if err != nil || given < 1 || given > maxHistory {
+			writeError(w, http.StatusBadRequest, "limit: want a number from 1 to "+strconv.Itoa(maxHistory))
+			return
+		}
+		limit = given
+	}
+	revisions, err := s.Backend.History(r.Context(), limit)
+	if err != nil {
+		writeBackendError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Revisions []Revision `json:"revisions"`
+	}{nonNil(revisions)})
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	instances, err := s.Backend.Status(r.Context())
+	if err != nil {
+		writeBackendError(w, err)
+		return
+	}
+	for i := range instances {
+		instances[i].Queued = nonNil(instances[i].Queued)
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Instances []InstanceStatus `json:"instances"`
+	}{nonNil(instances)})
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, maxDrainBody)
+	if !ok {
+		return
+	}
+	var request struct {
+		Instance id.Instance `json:"instance"`
+	}
+	if err := json.Unmarshal(body, &request); err != nil || request.Instance == "" {
+		writeError(w, http.StatusBadRequest, `want {"instance": ID}`)
+		return
+	}
+	if err := s.Backend.Drain(r.Context(), request.Instance); err != nil {
+		writeBackendError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, request)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeError(w, http.StatusRequestEntityTooLarge, "the body is too large")
+		return nil, false
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "the body could not be read")
+		return nil, false
+	}
+	return body, true
+}
+
+func writeBackendError(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ErrUnknownInstance), errors.Is(err, ErrNoManifest):
+		writeError(w, http.StatusNotFound, err.Error())
+	default:
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	type detail struct {
+		Message string `json:"message"`
+	}
+	writeJSON(w, status, struct {
+		Error detail `json:"error"`
+	}{detail{message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// nonNil makes an absent list an empty one in JSON.
+func nonNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
