standin: hash prompt prefixes the way entries do

Cache events are of no use to a router that cannot map their hashes to its own. Blocks are 1,024 bytes of the raw messages, hashed with the model and everything before.

--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -12,7 +12,7 @@
 )
 
 // prefixBlockBytes is the size of the blocks by which prompts are cached.
-const prefixBlockBytes = 256
+const prefixBlockBytes = 1024
 
 // keptEvents bounds the cache events that can still be asked for.
 const keptEvents = 1024
@@ -58,12 +58,12 @@
 	c.blocks = c.empty()
 }
 
-// read stores the blocks of text and returns the share of it that was there.
-func (c *cache) read(visibleAt time.Time, text string) float64 {
+// read stores the blocks of a prompt and returns the share of it that was
+// there.
+func (c *cache) read(visibleAt time.Time, model string, messages []json.RawMessage) float64 {
 	c.visibleAt = visibleAt
-	hashes := prefixHashes(text)
 	hits := 0
-	for _, hash := range hashes {
+	for _, hash := range prefixHashes(model, messages) {
 		if _, ok := c.blocks.Get(hash); ok {
 			hits++
 			continue
@@ -74,19 +74,31 @@
 	if hits == 0 {
 		return 0
 	}
-	return float64(hits*prefixBlockBytes) / float64(len(text))
+	size := 0
+	for _, m := range messages {
+		size += len(m)
+	}
+	return float64(hits*prefixBlockBytes) / float64(size)
 }
 
-// prefixHashes returns the chained hash of each whole block of text.
-func prefixHashes(text string) []uint64 {
+// prefixHashes returns a hash for each whole block of the messages, which
+// covers the model and all that comes before the block's end.
+func prefixHashes(model string, messages []json.RawMessage) []uint64 {
 	var hashes []uint64
-	var chained [8 + prefixBlockBytes]byte
-	previous := uint64(0)
-	for ; len(text) >= prefixBlockBytes; text = text[prefixBlockBytes:] {
-		binary.LittleEndian.PutUint64(chained[:8], previous)
-		copy(chained[8:], text)
-		previous = xxhash.Sum64(chained[:])
-		hashes = append(hashes, previous)
+	h := xxhash.New()
+	_, _ = h.WriteString(model)
+	filled := 0
+	for _, m := range messages {
+		for len(m) > 0 {
+			n := min(prefixBlockBytes-filled, len(m))
+			_, _ = h.Write(m[:n])
+			m = m[n:]
+			filled += n
+			if filled == prefixBlockBytes {
+				hashes = append(hashes, h.Sum64())
+				filled = 0
+			}
+		}
 	}
 	return hashes
 }
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -21,19 +21,38 @@
 )
 
 type completionRequest struct {
-	Model    string `json:"model"`
-	Messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-	Stream    bool `json:"stream"`
-	MaxTokens int  `json:"max_tokens"`
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int               `json:"max_tokens"`
+
+	// parsed holds the messages after parse.
+	parsed []message
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// parse decodes a body with its messages.
+func (c *completionRequest) parse(body []byte) error {
+	if err := json.Unmarshal(body, c); err != nil {
+		return err
+	}
+	c.parsed = make([]message, len(c.Messages))
+	for i, raw := range c.Messages {
+		if err := json.Unmarshal(raw, &c.parsed[i]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // text returns all contents in order.
 func (c *completionRequest) text() string {
 	var b strings.Builder
-	for _, m := range c.Messages {
+	for _, m := range c.parsed {
 		b.WriteString(m.Content)
 	}
 	return b.String()
@@ -42,7 +61,7 @@
 // digest identifies the last user message.
 func (c *completionRequest) digest() string {
 	content := ""
-	for _, m := range c.Messages {
+	for _, m := range c.parsed {
 		if m.Role == "user" {
 			content = m.Content
 		}
@@ -97,7 +116,7 @@
 		return
 	}
 	var request completionRequest
-	if err := json.Unmarshal(body, &request); err != nil {
+	if err := request.parse(body); err != nil {
 		writeError(w, http.StatusBadRequest, "bad body: "+err.Error())
 		return
 	}
@@ -112,7 +131,7 @@
 		return
 	}
 	e.recordAttempt(a)
-	e.readPrefix(a.stream, request.text())
+	e.readPrefix(a.stream, &request)
 	e.add(a.stream)
 	if request.Stream {
 		e.writeStream(w, r, a)
@@ -167,10 +186,10 @@
 }
 
 // readPrefix shortens the prefill by what is imported or cached.
-func (e *Engine) readPrefix(s *stream, text string) {
+func (e *Engine) readPrefix(s *stream, request *completionRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	share := e.cache.read(time.Now().Add(e.EventDelay), text)
+	share := e.cache.read(time.Now().Add(e.EventDelay), request.Model, request.Messages)
 	s.prefillLeft -= share * float64(s.prompt)
 	if tokens, ok := e.imported[s.request]; ok {
 		s.prefillLeft = float64(max(0, s.offset-tokens))
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -255,7 +255,7 @@
 func TestCacheEventsHaveGaps(t *testing.T) {
 	e := &engine.Engine{EventDelay: time.Nanosecond, EventGap: 2, Fast: true}
 	url := run(t, e)
-	_, _ = mustSend(t, url+"/v1/chat/completions", chat(strings.Repeat("x", 1024)))
+	_, _ = mustSend(t, url+"/v1/chat/completions", chat(strings.Repeat("x", 4096)))
 	response, err := http.Get(url + "/v1/cache_events?after=1") //nolint:noctx // bounded by the test
 	if err != nil {
 		t.Fatal(err)
