--- /dev/null
+++ b/bench/load/load_test.go
@@ -0,0 +1,204 @@
+package load_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"samphirehead/bench/load"
+	"samphirehead/protocol/answer"
+	"samphirehead/standin/engine"
+	"samphirehead/state/id"
+)
+
+const workspace = id.Workspace("w")
+
+func profile(perSecond float64, model id.Model) *load.Profile {
+	return &load.Profile{
+		Seed: 7, Duration: time.Second, Keys: map[id.Workspace]string{workspace: "secret"},
+		Streams: []load.Stream{{
+			Class: "c", Tier: 1, PerSecond: perSecond, Model: model, Patience: 10 * time.Second, FirstToken: time.Minute,
+			Workspaces:   []load.Weight{{Workspace: workspace, Weight: 1}},
+			AnswerTokens: load.Lengths{Median: 4}, PromptTokens: load.Lengths{Median: 50, Sigma: 0.5, Max: 100},
+			SharedPrefix: 0.3, Service: "desk", Method: http.MethodPost, Path: "/registrations", AtMostOnce: true,
+		}},
+	}
+}
+
+func TestJobsAreTheSameForTheSameSeed(t *testing.T) {
+	a, b := profile(200, "m").Jobs(), profile(200, "m").Jobs()
+	if len(a) < 100 || len(a) != len(b) {
+		t.Fatalf("%d and %d jobs", len(a), len(b))
+	}
+	for i := range a {
+		a[i].Stream, b[i].Stream = nil, nil
+		if !reflect.DeepEqual(a[i], b[i]) {
+			t.Fatalf("job %d differs", i)
+		}
+	}
+}
+
+func TestPhasesChangeTheRate(t *testing.T) {
+	p := profile(100, "m")
+	p.Streams[0].Phases = []load.Phase{{From: 500 * time.Millisecond, To: time.Second, Factor: 5}}
+	early, late := 0, 0
+	for _, j := range p.Jobs() {
+		if j.At < 500*time.Millisecond {
+			early++
+		} else {
+			late++
+		}
+	}
+	if late < 3*early {
+		t.Errorf("%d before and %d in the phase", early, late)
+	}
+}
+
+// entry answers entries by itself and all else by handler.
+func entry(t *testing.T, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	mux.HandleFunc("GET /v1/entries", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"entries":[%q],"lifetime_ms":1000}`, server.URL)
+	})
+	mux.Handle("/", handler)
+	return server
+}
+
+// run sends the first job of a profile and returns its record.
+func run(t *testing.T, p *load.Profile, urls ...string) *load.Record {
+	t.Helper()
+	records := (&load.Runner{Caller: &load.Caller{Instances: urls, Keys: p.Keys}, Profile: p}).Run(context.Background())
+	if len(records) == 0 {
+		t.Fatal("no records")
+	}
+	return records[0]
+}
+
+// onlyOne returns a profile with exactly one job.
+func onlyOne(model id.Model) *load.Profile {
+	p := profile(50, model)
+	p.Duration = p.Jobs()[0].At + 1
+	return p
+}
+
+func token(i int, digest string) string {
+	return fmt.Sprintf("id: %d\ndata: {\"id\":\"r1\",\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", i, engine.Token(i, digest))
+}
+
+func TestChecksStreams(t *testing.T) {
+	done := "data: [DONE]\n\n"
+	prompt := onlyOne("m").Jobs()[0].Prompt
+	digest := engine.Digest(prompt)
+	tokens := func(indices ...int) string {
+		var b strings.Builder
+		for _, i := range indices {
+			b.WriteString(token(i, digest))
+		}
+		return b.String()
+	}
+	cases := map[string]struct {
+		body               string
+		abort              bool
+		outcome            answer.Outcome
+		truncated, crossed bool
+	}{
+		"whole":             {tokens(0, 1, 2, 3) + done, false, answer.OutcomeCompleted, false, false},
+		"short":             {tokens(0, 1, 2) + done, false, answer.OutcomeCompleted, true, false},
+		"no end":            {tokens(0, 1, 2, 3), false, load.OutcomeFailed, true, false},
+		"broken connection": {tokens(0, 1), true, load.OutcomeFailed, false, false},
+		"gap":               {tokens(0, 2, 3) + done, false, answer.OutcomeCompleted, true, true},
+		"other answer":      {token(0, "beef") + done, false, answer.OutcomeCompleted, true, true},
+		"other request":     {strings.ReplaceAll(tokens(0, 1, 2, 3), "r1", "r2") + done, false, answer.OutcomeCompleted, true, true},
+		"error event":       {tokens(0) + "event: error\ndata: {\"error\":{\"code\":\"upstream_failed\"},\"outcome\":\"unknown\"}\n\n", false, answer.OutcomeUnknown, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := entry(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Request-Id", "r1")
+				_, _ = w.Write([]byte(c.body))
+				if c.abort {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			})
+			r := run(t, onlyOne("m"), server.URL)
+			if r.Outcome != c.outcome || r.Truncated != c.truncated || r.Crossed != c.crossed {
+				t.Errorf("outcome %s, truncated %v, crossed %v", r.Outcome, r.Truncated, r.Crossed)
+			}
+		})
+	}
+}
+
+func TestSendsAgainWithinBounds(t *testing.T) {
+	refuse := func(w http.ResponseWriter, status int) {
+		w.Header().Set("X-Samphirehead-Outcome", "not_run")
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(`{"error":{"code":"overloaded"},"outcome":"not_run","retry_after_ms":1}`))
+	}
+	cases := map[string]struct {
+		handler func(n int64, w http.ResponseWriter)
+		sends   int
+		outcome answer.Outcome
+	}{
+		"answered":      {func(_ int64, w http.ResponseWriter) { answerCall(w) }, 1, answer.OutcomeCompleted},
+		"refused once":  {func(n int64, w http.ResponseWriter) { refuseUntil(n, 2, w, refuse) }, 2, answer.OutcomeCompleted},
+		"refused often": {func(_ int64, w http.ResponseWriter) { refuse(w, 429) }, 4, answer.OutcomeNotRun},
+		"broken once": {func(n int64, w http.ResponseWriter) {
+			if n < 2 {
+				panic(http.ErrAbortHandler)
+			}
+			answerCall(w)
+		}, 2, answer.OutcomeCompleted},
+		"broken, then refused": {func(n int64, w http.ResponseWriter) {
+			if n < 2 {
+				panic(http.ErrAbortHandler)
+			}
+			refuse(w, 429)
+		}, 4, answer.OutcomeUnknown},
+		"forbidden": {func(_ int64, w http.ResponseWriter) {
+			w.Header().Set("X-Samphirehead-Outcome", "not_run")
+			w.WriteHeader(http.StatusForbidden)
+		}, 1, answer.OutcomeNotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int64
+			server := entry(t, func(w http.ResponseWriter, _ *http.Request) { c.handler(n.Add(1), w) })
+			r := run(t, onlyOne(""), server.URL)
+			if len(r.Told) != c.sends || r.Outcome != c.outcome {
+				t.Errorf("%d sends, outcome %s", len(r.Told), r.Outcome)
+			}
+		})
+	}
+}
+
+func refuseUntil(n, last int64, w http.ResponseWriter, refuse func(http.ResponseWriter, int)) {
+	if n < last {
+		refuse(w, 429)
+		return
+	}
+	answerCall(w)
+}
+
+func answerCall(w http.ResponseWriter) {
+	w.Header().Set("X-Samphirehead-Outcome", "completed")
+	_, _ = w.Write([]byte(`{"digest":"` + engine.Digest(onlyOne("").Jobs()[0].Body) + `"}`))
+}
+
+func TestAsksAnotherInstanceForEntries(t *testing.T) {
+	server := entry(t, func(w http.ResponseWriter, _ *http.Request) { answerCall(w) })
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	if r := run(t, onlyOne(""), dead.URL, server.URL); !r.Completed() {
+		t.Errorf("outcome %s", r.Outcome)
+	}
+}
--- /dev/null
+++ b/bench/score/score.go
@@ -0,0 +1,179 @@
+package score
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"samphirehead/bench/load"
+	"samphirehead/protocol/answer"
+	"samphirehead/standin/engine"
+	"samphirehead/standin/service"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+// Engine is what one engine really did.
+type Engine struct {
+	Models []id.Model
+	// Slots is the most streams that run at once.
+	Slots int
+	Truth engine.Truth
+}
+
+// Leave is the graceful end of one instance.
+type Leave struct {
+	// Entry is the address that callers use.
+	Entry string
+	Began time.Time
+	// Ended is zero while the instance runs.
+	Ended time.Time
+}
+
+// Run is everything that a score is made from.
+type Run struct {
+	Start time.Time
+	// Duration is for how long requests were sent; goodput counts only
+	// what was delivered in it.
+	Duration time.Duration
+	Records  []*load.Record
+	Classes  []manifest.Class
+	// Engines and Services hold the ground truth; empty if unknown.
+	Engines  []Engine
+	Services []service.Truth
+	Leaves   []Leave
+	// CapacityTokensPerSecond is the decode rate of all engines together.
+	CapacityTokensPerSecond float64
+}
+
+// Score computes the result of a run; the caller fills in the names.
+func (r *Run) Score() Result {
+	result := Result{
+		DurationS:          r.Duration.Seconds(),
+		Classes:            r.classes(),
+		CapacityTokensPerS: r.CapacityTokensPerSecond,
+		WastedTokensShare:  r.wasted(),
+		Violations:         r.violations(),
+	}
+	end := r.Start.Add(r.Duration)
+	for _, record := range r.Records {
+		if !record.Completed() {
+			continue
+		}
+		result.GoodputTokensPerS += float64(countUntil(record.TokenTimes, end))
+		if !record.Ended.After(end) {
+			result.GoodputRequestsPerS++
+		}
+	}
+	result.GoodputTokensPerS /= r.Duration.Seconds()
+	result.GoodputRequestsPerS /= r.Duration.Seconds()
+	return result
+}
+
+func countUntil(times []time.Time, end time.Time) int {
+	n := 0
+	for _, t := range times {
+		if !t.After(end) {
+			n++
+		}
+	}
+	return n
+}
+
+// tally gathers one class.
+type tally struct {
+	Class
+	attained int
+	first    *hdrhistogram.Histogram
+	between  *hdrhistogram.Histogram
+}
+
+const (
+	longestLatency    = 10 * time.Minute
+	significantDigits = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestLatency.Microseconds(), significantDigits)
+}
+
+func (r *Run) classes() []Class {
+	tallies := map[id.Class]*tally{}
+	for _, record := range r.Records {
+		s := record.Job.Stream
+		t, ok := tallies[s.Class]
+		if !ok {
+			t = &tally{Class: Class{Class: s.Class, Tier: s.Tier}, first: newHistogram(), between: newHistogram()}
+			tallies[s.Class] = t
+		}
+		t.add(record)
+	}
+	classes := make([]Class, 0, len(tallies))
+	for _, t := range tallies {
+		classes = append(classes, t.finish())
+	}
+	slices.SortFunc(classes, func(a, b Class) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Class, b.Class))
+	})
+	return classes
+}
+
+func (t *tally) add(r *load.Record) {
+	t.Sent++
+	switch {
+	case r.Completed():
+		t.Completed++
+	case r.Outcome == answer.OutcomeNotRun:
+		t.NotRun++
+	case r.Outcome == answer.OutcomeUnknown:
+		t.Unknown++
+	default:
+		t.Failed++
+	}
+	if r.Attained() {
+		t.attained++
+	}
+	if r.FirstToken > 0 {
+		_ = t.first.RecordValue(r.FirstToken.Microseconds())
+	}
+	for i := 1; i < len(r.TokenTimes); i++ {
+		_ = t.between.RecordValue(r.TokenTimes[i].Sub(r.TokenTimes[i-1]).Microseconds())
+	}
+}
+
+func (t *tally) finish() Class {
+	t.Attainment = float64(t.attained) / float64(t.Sent)
+	t.FirstTokenP50MS = milliseconds(t.first, 50)
+	t.FirstTokenP95MS = milliseconds(t.first, 95)
+	t.BetweenTokensP95MS = milliseconds(t.between, 95)
+	return t.Class
+}
+
+func milliseconds(h *hdrhistogram.Histogram, percentile float64) float64 {
+	if h.TotalCount() == 0 {
+		return 0
+	}
+	return float64(h.ValueAtQuantile(percentile)) / 1000
+}
+
+// wasted is the share of the generated tokens that are not part of an answer
+// that its caller got whole.
+func (r *Run) wasted() float64 {
+	generated, useful := 0, 0
+	for _, e := range r.Engines {
+		for _, a := range e.Truth.Requests {
+			generated += a.TokensGenerated
+		}
+	}
+	for _, record := range r.Records {
+		if record.Completed() {
+			useful += record.Tokens
+		}
+	}
+	if generated == 0 {
+		return 0
+	}
+	return max(0, 1-float64(useful)/float64(generated))
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -64,6 +64,8 @@
 	// microseconds.
 	FirstUnixUS int64 `json:"first_unix_us"`
 	LastUnixUS  int64 `json:"last_unix_us"`
+	// Requests holds the X-Request-Id of each run.
+	Requests []string `json:"requests"`
 }
 
 // Truth is what really ran.
@@ -213,6 +215,7 @@
 	run := &s.runs[position]
 	run.Count++
 	run.LastUnixUS = now
+	run.Requests = append(run.Requests, r.Header.Get("X-Request-Id"))
 	return *run
 }
 
