--- /dev/null
+++ b/commands/operator.go
@@ -0,0 +1,139 @@
+package commands
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"samphirehead/state/settings"
+	"samphirehead/transport/operator"
+)
+
+// The environment variables that stand in for flags of the operator commands.
+const (
+	envOperator       = "SAMPHIREHEAD_OPERATOR"
+	envOperatorSecret = "SAMPHIREHEAD_OPERATOR_SECRET"
+)
+
+// Streams are where a command writes, given as an argument of Execute. Without
+// them it writes to the standard streams.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+func streamsOf(args []any) Streams {
+	for _, arg := range args {
+		if streams, ok := arg.(Streams); ok {
+			return streams
+		}
+	}
+	return Streams{Out: os.Stdout, Err: os.Stderr}
+}
+
+// operatorFlags are common to the commands that call an instance.
+type operatorFlags struct {
+	address    string
+	secretFile string
+	json       bool
+}
+
+func (o *operatorFlags) set(f *flag.FlagSet) {
+	f.StringVar(&o.address, "operator", "", "the operators' `address` of any instance; default $"+envOperator)
+	f.StringVar(&o.secretFile, "secret-file", "", "the `file` with the operator secret; default $"+envOperatorSecret)
+	setJSON(f, &o.json)
+}
+
+func setJSON(f *flag.FlagSet, target *bool) {
+	f.BoolVar(target, "json", false, "print one JSON object")
+}
+
+// client returns a client, or prints what is missing and returns false.
+func (o *operatorFlags) client(streams Streams) (*operator.Client, bool) {
+	address := o.address
+	if address == "" {
+		address = os.Getenv(envOperator)
+	}
+	if address == "" {
+		fmt.Fprintln(streams.Err, "no instance named: set -operator or $"+envOperator)
+		return nil, false
+	}
+	secret, err := settings.ReadSecret(o.secretFile, envOperatorSecret)
+	if err != nil {
+		fmt.Fprintf(streams.Err, "no operator secret: %v; set -secret-file or $%s\n", err, envOperatorSecret)
+		return nil, false
+	}
+	return &operator.Client{Address: address, Secret: secret}, true
+}
+
+// run calls do with a client. A stray argument or missing setting is a usage
+// error; an error of do is a failure.
+func (o *operatorFlags) run(f *flag.FlagSet, args []any, do func(*operator.Client, Streams) error) subcommands.ExitStatus {
+	streams := streamsOf(args)
+	if !noArguments(f, streams) {
+		return subcommands.ExitUsageError
+	}
+	client, ok := o.client(streams)
+	if !ok {
+		return subcommands.ExitUsageError
+	}
+	if err := do(client, streams); err != nil {
+		return reportFailure(streams, o.json, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func noArguments(f *flag.FlagSet, streams Streams) bool {
+	if f.NArg() > 0 {
+		fmt.Fprintf(streams.Err, "unexpected argument %q\n", f.Arg(0))
+	}
+	return f.NArg() == 0
+}
+
+// reportFailure prints err, with -json as an object on the output.
+func reportFailure(streams Streams, asJSON bool, err error) subcommands.ExitStatus {
+	if asJSON {
+		printJSON(streams.Out, struct {
+			Error string `json:"error"`
+		}{err.Error()})
+		return subcommands.ExitFailure
+	}
+	fmt.Fprintln(streams.Err, err)
+	return subcommands.ExitFailure
+}
+
+func printJSON(w io.Writer, value any) {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
+
+// printTable prints tab-separated lines in columns.
+func printTable(w io.Writer, lines []string) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, line := range lines {
+		fmt.Fprintln(table, line)
+	}
+	_ = table.Flush()
+}
+
+// requireFlag prints an error for an empty flag.
+func requireFlag(streams Streams, name, value string) bool {
+	if value == "" {
+		fmt.Fprintf(streams.Err, "-%s is required\n", name)
+	}
+	return value != ""
+}
+
+// readFile reads a file named by a flag; "-" is the standard input.
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(name)
+}
