--- a/state/manifest/parse_test.go
+++ b/state/manifest/parse_test.go
@@ -10,7 +10,7 @@
 	"samphirehead/state/manifest"
 )
 
-var samples = []string{"trust", "mosalaus"}
+var samples = []string{"trust", "mosalaus", "local"}
 
 func readSample(t testing.TB, name string) []byte {
 	t.Helper()
--- a/state/manifest/schema_test.go
+++ b/state/manifest/schema_test.go
@@ -101,11 +101,14 @@
 }
 
 func TestSchemaAcceptsSamples(t *testing.T) {
-	for _, text := range []string{small, string(readSample(t, "trust")), string(readSample(t, "mosalaus"))} {
-		if err := validate(t, text); err != nil {
-			t.Error(err)
+	for _, name := range samples {
+		if err := validate(t, string(readSample(t, name))); err != nil {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
+	if err := validate(t, small); err != nil {
+		t.Error(err)
+	}
 }
 
 func TestSchemaRefuses(t *testing.T) {
