--- /dev/null
+++ b/bench/baseline/baseline.go
@@ -0,0 +1,159 @@
+// Package baseline holds the dispatchers that samphirehead is measured
+// against: each instance decides alone, first come first served, with a
+// bounded queue.
+package baseline
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirehead/coordination/queue"
+	"samphirehead/instance/dispatch"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+// Choice is how a dispatcher picks an upstream.
+type Choice string
+
+// The choices.
+const (
+	// RoundRobin takes the next upstream in turn.
+	RoundRobin Choice = "round_robin"
+	// LeastOutstanding takes the upstream with the fewest requests of this
+	// instance in progress.
+	LeastOutstanding Choice = "least_outstanding"
+)
+
+const (
+	// DefaultQueueBound is the most requests that wait for one pool.
+	DefaultQueueBound = 256
+	retryAfter        = time.Second
+)
+
+// Dispatcher gives out slots as if its instance were the only one.
+type Dispatcher struct {
+	Choice Choice
+	// Index is the manifest in force.
+	Index func() *manifest.Index
+	// QueueBound is DefaultQueueBound when 0.
+	QueueBound int
+
+	mu     sync.Mutex
+	counts map[id.Upstream]int
+	// turns holds the place in the rotation of each pool.
+	turns map[id.Pool]int
+	// waiting holds the waiting requests of each pool, oldest first.
+	waiting map[id.Pool][]*waiter
+}
+
+var _ dispatch.Dispatcher = (*Dispatcher)(nil)
+
+// waiter is a request in a queue.
+type waiter struct {
+	need queue.Arrived
+	// granted has room for the one upstream that is given out.
+	granted chan manifest.Upstream
+}
+
+// Reserve waits for a slot.
+func (d *Dispatcher) Reserve(ctx context.Context, need queue.Arrived) (*dispatch.Grant, error) {
+	began := time.Now()
+	w, err := d.enqueue(need)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case u := <-w.granted:
+		return dispatch.NewGrant(need, u, time.Since(began)), nil
+	case <-ctx.Done():
+		d.withdraw(w)
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (d *Dispatcher) enqueue(need queue.Arrived) (*waiter, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.counts == nil {
+		d.counts = map[id.Upstream]int{}
+		d.turns = map[id.Pool]int{}
+		d.waiting = map[id.Pool][]*waiter{}
+	}
+	bound := d.QueueBound
+	if bound == 0 {
+		bound = DefaultQueueBound
+	}
+	if len(d.waiting[need.Pool]) >= bound {
+		return nil, &dispatch.Refusal{Reason: queue.RefusedQueueFull, RetryAfter: retryAfter}
+	}
+	w := &waiter{need: need, granted: make(chan manifest.Upstream, 1)}
+	d.waiting[need.Pool] = append(d.waiting[need.Pool], w)
+	d.serve(need.Pool)
+	return w, nil
+}
+
+// withdraw takes a request out of its queue, or gives its slot back.
+func (d *Dispatcher) withdraw(w *waiter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting[w.need.Pool] = slices.DeleteFunc(d.waiting[w.need.Pool], func(o *waiter) bool { return o == w })
+	select {
+	case u := <-w.granted:
+		d.free(u)
+	default:
+	}
+}
+
+// Release ends the use of a grant.
+func (d *Dispatcher) Release(g *dispatch.Grant, _ dispatch.Ending) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.free(g.Upstream)
+}
+
+func (d *Dispatcher) free(u manifest.Upstream) {
+	d.counts[u.Name]--
+	for _, pool := range u.Pools() {
+		d.serve(pool)
+	}
+}
+
+// serve gives out slots to the head of a queue while there are any.
+func (d *Dispatcher) serve(pool id.Pool) {
+	for len(d.waiting[pool]) > 0 {
+		w := d.waiting[pool][0]
+		u, ok := d.pick(pool, w.need.Excluded)
+		if !ok {
+			return
+		}
+		d.waiting[pool] = d.waiting[pool][1:]
+		d.counts[u.Name]++
+		w.granted <- u
+	}
+}
+
+// pick chooses among the upstreams with a free slot, as far as this instance
+// knows.
+func (d *Dispatcher) pick(pool id.Pool, excluded []id.Upstream) (manifest.Upstream, bool) {
+	upstreams := d.Index().Upstreams(pool)
+	best, found := 0, false
+	for n := range upstreams {
+		i := (d.turns[pool] + n) % len(upstreams)
+		u := upstreams[i]
+		if d.counts[u.Name] >= u.Capacity.Slots || slices.Contains(excluded, u.Name) {
+			continue
+		}
+		better := d.Choice == LeastOutstanding && d.counts[u.Name] < d.counts[upstreams[best].Name]
+		if !found || better {
+			best, found = i, true
+		}
+	}
+	if !found {
+		return manifest.Upstream{}, false
+	}
+	d.turns[pool] = best + 1
+	return upstreams[best], true
+}
--- /dev/null
+++ b/bench/cluster/apply.go
@@ -0,0 +1,102 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/transport/operator"
+)
+
+// Reapply lets some operators submit, at the same moment and against the same
+// version, manifests that differ in a bound that no load reaches. It returns
+// how many were accepted.
+func (c *Cluster) Reapply(ctx context.Context, operators int) (int, error) {
+	var serving []*Node
+	for _, n := range c.Nodes() {
+		if n.Serving() {
+			serving = append(serving, n)
+		}
+	}
+	if len(serving) == 0 {
+		return 0, errors.New("no instance serves")
+	}
+	base, current := c.current()
+	type submitted struct {
+		manifest *manifest.Manifest
+		result   operator.ApplyResult
+		err      error
+	}
+	results := make(chan submitted, operators)
+	for i := range operators {
+		m := vary(current, uint64(base)*100+uint64(i))
+		node := serving[i%len(serving)]
+		go func() {
+			result, err := submit(ctx, node, base, m)
+			results <- submitted{m, result, err}
+		}()
+	}
+	accepted := 0
+	var failed error
+	for range operators {
+		s := <-results
+		failed = errors.CombineErrors(failed, s.err)
+		if a, ok := s.result.(operator.Accepted); ok {
+			accepted++
+			c.accept(a.Version, s.manifest)
+		}
+	}
+	if accepted == 0 {
+		c.refresh(ctx, serving[0])
+	}
+	return accepted, failed
+}
+
+// vary returns a copy of m whose lowest class has another queue bound.
+func vary(m *manifest.Manifest, n uint64) *manifest.Manifest {
+	changed := *m
+	changed.Classes = slices.Clone(m.Classes)
+	last := &changed.Classes[len(changed.Classes)-1]
+	last.QueueBound = 1000 + int(n%1000000)
+	return &changed
+}
+
+func submit(ctx context.Context, n *Node, base id.ManifestVersion, m *manifest.Manifest) (operator.ApplyResult, error) {
+	yaml, err := m.Marshal()
+	if err != nil {
+		return nil, fault.At("marshal manifest", "", err)
+	}
+	operation := id.Attempt(fmt.Sprintf("%s-%d", n.Name, time.Now().UnixNano()))
+	return n.Operator().Apply(ctx, operator.Submission{Base: base, YAML: yaml, Operation: operation})
+}
+
+func (c *Cluster) current() (id.ManifestVersion, *manifest.Manifest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version, c.manifest
+}
+
+func (c *Cluster) accept(version id.ManifestVersion, m *manifest.Manifest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version > c.version {
+		c.version, c.manifest = version, m
+	}
+}
+
+// refresh learns the version in force when no submission was known to be
+// accepted; an unknown outcome may have been.
+func (c *Cluster) refresh(ctx context.Context, n *Node) {
+	version, _, err := n.Operator().Manifest(ctx)
+	if err != nil {
+		return
+	}
+	_, m := c.current()
+	c.accept(version, m)
+}
--- /dev/null
+++ b/bench/cluster/cluster.go
@@ -0,0 +1,189 @@
+// Package cluster runs instances and the stand-ins around them in one process,
+// over loopback TCP on ports that the kernel chooses, at the Trust's size.
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/standin/engine"
+	"samphirehead/standin/platform"
+	"samphirehead/standin/service"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/settings"
+	"samphirehead/transport/operator"
+)
+
+// Secrets of the cluster's own listeners.
+const (
+	peerSecret     settings.Secret = "bench-peer-secret"
+	operatorSecret settings.Secret = "bench-operator-secret"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	startPoll    = 20 * time.Millisecond
+)
+
+// Instance is one samphirehead process in this one.
+type Instance interface {
+	// Listen chooses the ports.
+	Listen() error
+	// The addresses hold once Listen has returned.
+	CallerAddr() string
+	PeerAddr() string
+	OperatorAddr() string
+	// Run serves until ctx ends, which cuts everything, or until the
+	// instance has left.
+	Run(ctx context.Context) error
+}
+
+// Cluster is the whole composition. Its exported fields are set before Start.
+type Cluster struct {
+	// NewInstance makes an instance that has not listened yet.
+	NewInstance func(s settings.Settings) Instance
+
+	Platform *platform.Platform
+	Engines  []*engine.Engine
+	Services []*service.Service
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running int
+	// ended gets the error of each stand-in's Run.
+	ended chan error
+
+	mu    sync.Mutex
+	nodes []*Node
+	// manifest is what was accepted last, as version.
+	manifest *manifest.Manifest
+	version  id.ManifestVersion
+}
+
+// New returns a cluster at the Trust's size.
+func New(newInstance func(s settings.Settings) Instance) *Cluster {
+	return &Cluster{
+		NewInstance: newInstance,
+		Platform:    &platform.Platform{Address: "127.0.0.1:0", ListLag: 500 * time.Millisecond},
+		Engines:     newEngines(),
+		Services:    newServices(),
+	}
+}
+
+// standin is what the stand-ins have in common.
+type standin interface {
+	Listen() error
+	Run(ctx context.Context) error
+}
+
+// Start runs the stand-ins and instances, applies the manifest and waits until
+// every instance serves. Stop must be called also after an error.
+func (c *Cluster) Start(ctx context.Context) error {
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	standins := []standin{c.Platform}
+	for _, e := range c.Engines {
+		standins = append(standins, e)
+	}
+	for _, s := range c.Services {
+		standins = append(standins, s)
+	}
+	c.ended = make(chan error, len(standins))
+	for _, s := range standins {
+		if err := s.Listen(); err != nil {
+			return err
+		}
+		c.running++
+		go func() { c.ended <- s.Run(c.ctx) }()
+	}
+	for i := range instanceCount {
+		if err := c.startNode(i); err != nil {
+			return err
+		}
+	}
+	if err := c.apply(ctx, newManifest(c.Engines, c.Services)); err != nil {
+		return err
+	}
+	return c.waitReady(ctx)
+}
+
+// apply makes m the first version, through any instance.
+func (c *Cluster) apply(ctx context.Context, m *manifest.Manifest) error {
+	base, _ := c.current()
+	result, err := submit(ctx, c.Nodes()[0], base, m)
+	if err != nil {
+		return err
+	}
+	accepted, ok := result.(operator.Accepted)
+	if !ok {
+		return fault.At("apply manifest", "", errors.Newf("%#v", result))
+	}
+	c.accept(accepted.Version, m)
+	return nil
+}
+
+// waitReady waits until each instance names all of them as entries.
+func (c *Cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, n := range c.Nodes() {
+		for {
+			entries, err := n.entries(ctx)
+			if err == nil && len(entries) >= instanceCount {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fault.At("wait until ready", n.Name, errors.Newf("%d entries, last error %v", len(entries), err))
+			case <-time.After(startPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Stop ends everything and waits for it.
+func (c *Cluster) Stop() error {
+	if c.cancel == nil {
+		return nil
+	}
+	c.cancel()
+	var err error
+	for _, n := range c.Nodes() {
+		err = errors.CombineErrors(err, n.wait())
+	}
+	for range c.running {
+		err = errors.CombineErrors(err, <-c.ended)
+	}
+	return err
+}
+
+// Nodes returns the instances that were started, replaced ones included.
+func (c *Cluster) Nodes() []*Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Node{}, c.nodes...)
+}
+
+// URLs returns what callers know beforehand: the addresses of all instances
+// at the start.
+func (c *Cluster) URLs() []string {
+	var urls []string
+	for _, n := range c.Nodes() {
+		urls = append(urls, n.URL())
+	}
+	return urls
+}
+
+// Capacity is the decode rate of all engines together, in tokens a second.
+func (c *Cluster) Capacity() float64 {
+	sum := 0.0
+	for _, e := range c.Engines {
+		sum += e.DecodeTokensPerSecond
+	}
+	return sum
+}
--- /dev/null
+++ b/bench/cluster/node.go
@@ -0,0 +1,180 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/settings"
+	"samphirehead/transport/operator"
+)
+
+// Node is one run of an instance.
+type Node struct {
+	// Name is the instance's id.
+	Name string
+	// Index is its place among the instances.
+	Index int
+
+	instance Instance
+	// gates are before the platform and the peers' listener.
+	gates  []*gate
+	cancel context.CancelFunc
+	// done is closed when Run has returned err.
+	done chan struct{}
+	err  error
+
+	mu     sync.Mutex
+	left   time.Time
+	ended  time.Time
+	killed bool
+}
+
+// startNode starts the instance of a place anew.
+func (c *Cluster) startNode(index int) error {
+	domains := failureDomains()
+	name := fmt.Sprintf("entry-%d", index+1)
+	platformGate, peerGate := &gate{target: c.Platform.Addr()}, &gate{}
+	for _, g := range []*gate{platformGate, peerGate} {
+		if err := g.listen(); err != nil {
+			return err
+		}
+	}
+	s := settings.Settings{
+		Instance:      id.Instance(name),
+		FailureDomain: domains[index%len(domains)],
+		Region:        "doto",
+		CallerAddress: "127.0.0.1:0",
+		PeerAddress:   "127.0.0.1:0",
+
+		AdvertisedPeerAddress: peerGate.addr(),
+		OperatorAddress:       "127.0.0.1:0",
+		PlatformAddress:       platformGate.addr(),
+		PeerSecret:            peerSecret,
+		OperatorSecret:        operatorSecret,
+		LogLevel:              settings.LogWarning,
+		Limits:                settings.DefaultLimits(),
+	}
+	instance := c.NewInstance(s)
+	if err := instance.Listen(); err != nil {
+		return fault.At("start instance", name, err)
+	}
+	peerGate.target = instance.PeerAddr()
+	ctx, cancel := context.WithCancel(c.ctx)
+	n := &Node{
+		Name: name, Index: index, instance: instance, cancel: cancel, done: make(chan struct{}),
+		gates: []*gate{platformGate, peerGate},
+	}
+	go n.run(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = append(c.nodes, n)
+	return nil
+}
+
+// run runs the instance and the gates before it until the instance ends.
+func (n *Node) run(ctx context.Context) {
+	defer close(n.done)
+	gateCtx, closeGates := context.WithCancel(context.WithoutCancel(ctx))
+	var gates sync.WaitGroup
+	for _, g := range n.gates {
+		gates.Go(func() { g.serve(gateCtx) })
+	}
+	n.err = n.instance.Run(ctx)
+	n.mu.Lock()
+	n.ended = time.Now()
+	n.mu.Unlock()
+	closeGates()
+	gates.Wait()
+}
+
+// wait returns the error of Run once it has ended.
+func (n *Node) wait() error {
+	<-n.done
+	return n.err
+}
+
+// Serving reports whether the instance runs and is not leaving.
+func (n *Node) Serving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ended.IsZero() && n.left.IsZero() && !n.killed
+}
+
+// Kill ends the instance at once, with all its connections.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	n.killed = true
+	n.mu.Unlock()
+	n.cancel()
+}
+
+// Isolate cuts the instance off from the platform, and its peers from it, for
+// d.
+func (n *Node) Isolate(d time.Duration) {
+	for _, g := range n.gates {
+		g.closeFor(d)
+	}
+}
+
+// Leave tells the instance to leave and waits until it has.
+func (n *Node) Leave(ctx context.Context) error {
+	n.mu.Lock()
+	n.left = time.Now()
+	n.mu.Unlock()
+	if err := n.Operator().Drain(ctx, id.Instance(n.Name)); err != nil {
+		return err
+	}
+	select {
+	case <-n.done:
+		return n.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Left returns when the instance was told to leave and when it ended; zero
+// times for what has not happened.
+func (n *Node) Left() (began, ended time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.left, n.ended
+}
+
+// Replace starts a new run in the place of n, under the same name.
+func (c *Cluster) Replace(n *Node) error { return c.startNode(n.Index) }
+
+// URL is where callers reach the instance.
+func (n *Node) URL() string { return "http://" + n.instance.CallerAddr() }
+
+// Operator returns a client for the operators' listener.
+func (n *Node) Operator() *operator.Client {
+	return &operator.Client{Address: n.instance.OperatorAddr(), Secret: operatorSecret}
+}
+
+// entries asks the instance where a workspace should connect.
+func (n *Node) entries(ctx context.Context) ([]string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.URL()+"/v1/entries", nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+Key(Workspaces()[0].Workspace))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fault.New("ask for entries", n.Name, response.Status)
+	}
+	var answer struct {
+		Entries []string `json:"entries"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer.Entries, err
+}
--- /dev/null
+++ b/bench/experiment.go
@@ -0,0 +1,113 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"samphirehead/bench/cluster"
+	"samphirehead/bench/load"
+	"samphirehead/bench/score"
+	"samphirehead/state/id"
+)
+
+const progressInterval = time.Second
+
+// Experiment is one run of a scenario under a policy.
+type Experiment struct {
+	Scenario Scenario
+	Policy   Policy
+	// Duration is for how long requests are sent.
+	Duration time.Duration
+	Seed     uint64
+	// Progress gets a line a second, unless nil.
+	Progress io.Writer
+}
+
+// Run starts a cluster, runs the scenario and scores it.
+func (e *Experiment) Run(ctx context.Context) (score.Result, Report, error) {
+	c := cluster.New(e.Policy.newInstance)
+	err := c.Start(ctx)
+	if err != nil {
+		_ = c.Stop()
+		return score.Result{}, Report{}, err
+	}
+	result, report := e.RunOn(ctx, c)
+	return result, report, c.Stop()
+}
+
+// RunOn runs the scenario on a cluster that was started and stays up.
+func (e *Experiment) RunOn(ctx context.Context, c *cluster.Cluster) (score.Result, Report) {
+	runner := &load.Runner{
+		Caller: &load.Caller{Instances: c.URLs(), Keys: cluster.Keys()},
+		Profile: &load.Profile{
+			Seed: e.Seed, Duration: e.Duration, Keys: cluster.Keys(), Streams: e.Scenario.Streams(e.Duration),
+		},
+	}
+	conductor := &conductor{cluster: c, duration: e.Duration}
+	start := time.Now()
+	conducted := make(chan struct{})
+	go func() {
+		defer close(conducted)
+		conductor.run(ctx, start, e.Scenario.Steps)
+	}()
+	stopProgress := e.showProgress(runner)
+	records := runner.Run(ctx)
+	stopProgress()
+	<-conducted
+	run := truthOf(c)
+	run.Start, run.Duration, run.Records = start, e.Duration, records
+	result := run.Score()
+	result.Scenario, result.Policy, result.Seed = e.Scenario.Name, string(e.Policy), e.Seed
+	report := conductor.report
+	report.complete(c, records, e.Scenario.Offender)
+	return result, report
+}
+
+// truthOf gathers what the stand-ins really did.
+func truthOf(c *cluster.Cluster) *score.Run {
+	run := &score.Run{Classes: cluster.Classes(), CapacityTokensPerSecond: c.Capacity()}
+	for _, e := range c.Engines {
+		engine := score.Engine{Slots: e.Slots, Truth: e.Truth()}
+		for _, m := range e.Models {
+			engine.Models = append(engine.Models, id.Model(m))
+		}
+		run.Engines = append(run.Engines, engine)
+	}
+	for _, s := range c.Services {
+		run.Services = append(run.Services, s.Truth())
+	}
+	for _, n := range c.Nodes() {
+		if began, ended := n.Left(); !began.IsZero() {
+			run.Leaves = append(run.Leaves, score.Leave{Entry: n.URL(), Began: began, Ended: ended})
+		}
+	}
+	return run
+}
+
+// showProgress writes a line a second until the returned function is called.
+func (e *Experiment) showProgress(r *load.Runner) func() {
+	if e.Progress == nil {
+		return func() {}
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				sent, ended := r.Progress()
+				fmt.Fprintf(e.Progress, "sent %d, ended %d\n", sent, ended)
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-stopped
+	}
+}
--- a/bench/load/profile.go
+++ b/bench/load/profile.go
@@ -49,8 +49,8 @@
 	// SharedPrefix is the part of a prompt that all prompts of a workspace
 	// begin with, from 0 to 1.
 	SharedPrefix float64 `yaml:"shared_prefix"`
-	// Text is added to each prompt.
-	Text string `yaml:"text"`
+	// Same, unless empty, is the prompt of all requests.
+	Same string `yaml:"same"`
 
 	Service id.Service `yaml:"service"`
 	Method  string     `yaml:"method"`
@@ -198,11 +198,16 @@
 // addPrompt writes a prompt of the drawn length, which tells the stand-in
 // engine how long the answer is.
 func (s *Stream) addPrompt(r *rand.Rand, j *Job) {
+	if s.Same != "" {
+		j.AnswerTokens = 1
+		j.Prompt = s.Same + " answer_tokens=1"
+		return
+	}
 	size := s.PromptTokens.draw(r) * bytesPerToken
 	j.AnswerTokens = s.AnswerTokens.draw(r)
 	shared := int(float64(size) * s.SharedPrefix)
 	j.Prefix = filler("history of "+string(j.Workspace)+" ", shared)
-	question := "question " + j.Name + " " + s.Text + " answer_tokens=" + strconv.Itoa(j.AnswerTokens)
+	question := "question " + j.Name + " answer_tokens=" + strconv.Itoa(j.AnswerTokens)
 	j.Prompt = filler(j.Name+" ", size-shared-len(question)) + question
 }
 
--- /dev/null
+++ b/bench/policy.go
@@ -0,0 +1,21 @@
+package bench
+
+import (
+	"samphirehead/bench/cluster"
+	"samphirehead/state/settings"
+)
+
+// Policy names how requests are given to upstreams.
+type Policy string
+
+// The policies.
+const (
+	Samphirehead     Policy = "samphirehead"
+	RoundRobin       Policy = "round_robin"
+	LeastOutstanding Policy = "least_outstanding"
+)
+
+// Policies lists all policies.
+func Policies() []Policy { return []Policy{Samphirehead, RoundRobin, LeastOutstanding} }
+
+func (p Policy) newInstance(_ settings.Settings) cluster.Instance { return nil }
--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,104 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"samphirehead/bench/cluster"
+	"samphirehead/bench/load"
+	"samphirehead/bench/score"
+	"samphirehead/protocol/answer"
+	"samphirehead/standin/fault"
+	"samphirehead/state/id"
+)
+
+// Report is what a run shows besides its Result.
+type Report struct {
+	// StepErrors counts steps of the scenario that failed.
+	StepErrors int
+	// AppliesTried and AppliesAccepted count manifests.
+	AppliesTried, AppliesAccepted int
+	// RacesWithTwoWinners counts races in which more than one manifest was
+	// accepted against the same version.
+	RacesWithTwoWinners int
+	// Faults counts the faults that struck.
+	Faults map[fault.Kind]int
+	// Crashes counts crashes of engines by the request that caused them.
+	Crashes map[string]int
+	// OutdatedOrders counts orders that took effect after a newer one.
+	OutdatedOrders int
+	// Keys counts the at-most-once calls by what their callers believe.
+	Keys map[answer.Outcome]int
+	// Others is the attainment of each class without the offender; nil if
+	// there is none.
+	Others []score.Class
+}
+
+// complete fills the report from the truth and the records.
+func (r *Report) complete(c *cluster.Cluster, records []*load.Record, offender id.Workspace) {
+	r.Faults, r.Crashes, r.Keys = map[fault.Kind]int{}, map[string]int{}, map[answer.Outcome]int{}
+	r.addFaults(c.Platform.Truth().FaultsStruck)
+	for _, s := range c.Services {
+		r.addFaults(s.Truth().FaultsStruck)
+	}
+	for _, e := range c.Engines {
+		truth := e.Truth()
+		r.addFaults(truth.FaultsStruck)
+		for _, crash := range truth.Crashes {
+			r.Crashes[crash.Match]++
+		}
+		for _, o := range truth.Orders {
+			if o.Outdated {
+				r.OutdatedOrders++
+			}
+		}
+	}
+	var others []*load.Record
+	for _, record := range records {
+		if record.Job.Key != "" {
+			r.Keys[record.Outcome]++
+		}
+		if record.Job.Workspace != offender {
+			others = append(others, record)
+		}
+	}
+	if offender != "" {
+		run := score.Run{Records: others, Duration: 1}
+		r.Others = run.Score().Classes
+	}
+}
+
+func (r *Report) addFaults(struck map[fault.Kind]int) {
+	for kind, n := range struck {
+		r.Faults[kind] += n
+	}
+}
+
+// Print writes the report for people.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "faults that struck:%s\n", counts(r.Faults))
+	fmt.Fprintf(w, "engine crashes by match:%s; outdated orders that took effect: %d\n", counts(r.Crashes), r.OutdatedOrders)
+	fmt.Fprintf(w, "at-most-once calls by outcome:%s\n", counts(r.Keys))
+	if r.AppliesTried > 0 {
+		fmt.Fprintf(w, "manifests tried %d, accepted %d, races with two winners %d\n", r.AppliesTried, r.AppliesAccepted, r.RacesWithTwoWinners)
+	}
+	for _, c := range r.Others {
+		fmt.Fprintf(w, "without the offending workspace: %s sent %d, completed %d, attained %.1f%%\n", c.Class, c.Sent, c.Completed, 100*c.Attainment)
+	}
+	if r.StepErrors > 0 {
+		fmt.Fprintf(w, "steps that failed: %d\n", r.StepErrors)
+	}
+}
+
+func counts[K ~string](m map[K]int) string {
+	if len(m) == 0 {
+		return " none"
+	}
+	text := ""
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		text += fmt.Sprintf(" %s %d", k, m[k])
+	}
+	return text
+}
--- /dev/null
+++ b/bench/scenarios.go
@@ -0,0 +1,172 @@
+package bench
+
+import (
+	"slices"
+
+	"samphirehead/bench/cluster"
+	"samphirehead/bench/load"
+	"samphirehead/standin/fault"
+	"samphirehead/state/id"
+)
+
+// poison is in the prompt that crashes engines.
+const poison = "poison-pill"
+
+const offender id.Workspace = "troupe-tokachi"
+
+// Find returns the scenario with the given name.
+func Find(name string) (Scenario, bool) {
+	all := Scenarios()
+	i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == name })
+	if i < 0 {
+		return Scenario{}, false
+	}
+	return all[i], true
+}
+
+// Scenarios lists all scenarios.
+func Scenarios() []Scenario {
+	return slices.Concat(loadScenarios(), engineScenarios(), instanceScenarios(), platformScenarios(), together())
+}
+
+func loadScenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady", Summary: "half of the engines' capacity"},
+		{Name: "morning_peak", Summary: "three times the questions, few dossiers", Changes: []Change{
+			{Class: cluster.Question, Rate: 3, From: 0.2, Until: 0.8},
+			{Class: cluster.Dossier, Rate: 0.25, Until: 1},
+		}},
+		{Name: "evening_peak", Summary: "half of the questions, four times the dossiers", Changes: []Change{
+			{Class: cluster.Question, Rate: 0.5, Until: 1},
+			{Class: cluster.Dossier, Rate: 4, From: 0.2, Until: 0.8},
+		}},
+		{Name: "dossier_burst", Summary: "eight times the dossiers for a while", Changes: []Change{
+			{Class: cluster.Dossier, Rate: 8, From: 0.3, Until: 0.6},
+		}},
+		{Name: "urgent_burst", Summary: "four times the questions for a while", Changes: []Change{
+			{Class: cluster.Question, Rate: 4, From: 0.4, Until: 0.6},
+		}},
+		{Name: "overload", Summary: "twice the engines' capacity", Changes: []Change{
+			{Class: cluster.Question, Rate: 4, Until: 1},
+			{Class: cluster.Notes, Rate: 4, Until: 1},
+			{Class: cluster.Dossier, Rate: 4, Until: 1},
+		}},
+		{Name: "long_answers", Summary: "notes four times as long as usual", Changes: []Change{
+			{Class: cluster.Notes, Answer: 4},
+		}},
+		{Name: "workspace_flood", Summary: "one workspace sends three times all the others' questions",
+			Extra: []load.Stream{flood()}, Offender: offender},
+		{Name: "duplicate_calls", Summary: "four callers send each registration at the same moment", Changes: []Change{
+			{Class: cluster.Registration, Copies: 4},
+		}},
+	}
+}
+
+// streamOf returns a copy of the steady stream of a class, for one workspace.
+func streamOf(class id.Class, w id.Workspace) load.Stream {
+	streams := cluster.Streams()
+	i := slices.IndexFunc(streams, func(s load.Stream) bool { return s.Class == class })
+	s := streams[i]
+	s.Workspaces = []load.Weight{{Workspace: w, Weight: 1}}
+	return s
+}
+
+func flood() load.Stream {
+	s := streamOf(cluster.Question, offender)
+	s.PerSecond *= 3
+	return s
+}
+
+func poisoned() load.Stream {
+	s := streamOf(cluster.Notes, offender)
+	s.PerSecond = 1
+	s.Same = poison
+	return s
+}
+
+func engineScenarios() []Scenario {
+	slow := fault.Fault{Kind: fault.Slow, Factor: 8}
+	crash := fault.Fault{Kind: fault.Crash, DurationMS: 2000}
+	return []Scenario{
+		{Name: "slow_engine", Summary: "three engines run eight times slower", Steps: []Step{
+			{0.2, EngineFault{Engines: []int{2, 7, 13}, Fault: slow, For: 0.6}},
+		}},
+		{Name: "crash_engine", Summary: "four engines crash, two at the same moment", Steps: []Step{
+			{0.2, EngineFault{Engines: []int{0}, Fault: crash}},
+			{0.4, EngineFault{Engines: []int{5, 14}, Fault: crash}},
+			{0.6, EngineFault{Engines: []int{19}, Fault: crash}},
+		}},
+		{Name: "stale_reports", Summary: "all load reports stop, then three engines run eight times slower", Steps: []Step{
+			{0.1, EngineFault{Fault: fault.Fault{Kind: fault.StaleReport}, For: 0.9}},
+			{0.3, EngineFault{Engines: []int{2, 7, 13}, Fault: slow, For: 0.5}},
+		}},
+		{Name: "poison_request", Summary: "one request crashes each engine that runs it, and comes again",
+			Extra: []load.Stream{poisoned()}, Offender: offender, Steps: []Step{
+				{0, EngineFault{Fault: fault.Fault{Kind: fault.Crash, Match: poison, DurationMS: 2000}}},
+			}},
+	}
+}
+
+func instanceScenarios() []Scenario {
+	replaceAll := []Step{}
+	for place := range 4 {
+		at := 0.1 + 0.2*float64(place)
+		replaceAll = append(replaceAll, Step{at, Kill{place}}, Step{at + 0.08, Replace{place}})
+	}
+	applies := []Step{}
+	races := []Step{}
+	for at := 0.1; at < 0.95; at += 0.1 {
+		applies = append(applies, Step{at, Reapply{}})
+		races = append(races, Step{at, Race{}})
+	}
+	return []Scenario{
+		{Name: "lose_instance", Summary: "one of four instances dies", Steps: []Step{{0.4, Kill{1}}}},
+		{Name: "kill_one", Summary: "one instance dies and is replaced", Steps: []Step{{0.3, Kill{2}}, {0.6, Replace{2}}}},
+		{Name: "drain_one", Summary: "one instance leaves", Steps: []Step{{0.3, Leave{1}}}},
+		{Name: "replace_all", Summary: "all instances die and are replaced in turn", Steps: replaceAll},
+		{Name: "apply_under_load", Summary: "the manifest changes nine times", Steps: applies},
+		{Name: "operators_race", Summary: "operators apply different manifests at the same moment, nine times", Steps: races},
+	}
+}
+
+func platformScenarios() []Scenario {
+	const writes = "/v1/table/write"
+	return []Scenario{
+		{Name: "store_down", Summary: "the platform is down for half of the time", Steps: []Step{
+			{0.25, PlatformFault{fault.Fault{Kind: fault.Down}, 0.5}},
+		}},
+		{Name: "store_slow", Summary: "the platform answers 400 ms late", Steps: []Step{
+			{0.2, PlatformFault{fault.Fault{Kind: fault.Slow, DelayMS: 400}, 0.6}},
+		}},
+		{Name: "lost_answers", Summary: "answers to writes are lost, writes land late, services' answers are lost", Steps: []Step{
+			{0.1, PlatformFault{fault.Fault{Kind: fault.LostAnswer, Match: writes, Every: 4}, 0.8}},
+			{0.1, PlatformFault{fault.Fault{Kind: fault.LateWrite, Match: writes, Every: 7, DelayMS: 700}, 0.8}},
+			{0.1, ServiceFault{fault.Fault{Kind: fault.LostAnswer, Match: "POST", Every: 10}, 0.8}},
+		}},
+	}
+}
+
+// together returns all failures at once.
+func together() []Scenario {
+	parts := []string{"overload", "crash_engine", "poison_request", "duplicate_calls", "lost_answers", "kill_one", "apply_under_load"}
+	all := Scenario{Name: "all_at_once", Summary: "overload, crashes, a poisonous request, duplicates, lost answers, a dying instance, new manifests", Offender: offender}
+	known := slices.Concat(loadScenarios(), engineScenarios(), instanceScenarios(), platformScenarios())
+	for _, s := range known {
+		if !slices.Contains(parts, s.Name) {
+			continue
+		}
+		all.Changes = append(all.Changes, s.Changes...)
+		all.Extra = append(all.Extra, s.Extra...)
+		all.Steps = append(all.Steps, s.Steps...)
+	}
+	slices.SortStableFunc(all.Steps, func(a, b Step) int {
+		if a.At < b.At {
+			return -1
+		}
+		if a.At > b.At {
+			return 1
+		}
+		return 0
+	})
+	return []Scenario{all}
+}
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -41,6 +41,8 @@
 	Match string `json:"match,omitempty"`
 	// Count is how often the fault strikes; 0 means without limit.
 	Count int `json:"count,omitempty"`
+	// Every makes only each nth match strike; 0 and 1 mean each.
+	Every int `json:"every,omitempty"`
 	// DurationMS is for how long the fault is there; 0 means until cleared.
 	// For Crash it is how long the stand-in stays down.
 	DurationMS int64 `json:"duration_ms,omitempty"`
@@ -62,6 +64,8 @@
 	until time.Time
 	// left is negative for a fault without limit.
 	left int
+	// matched counts matches for Every.
+	matched int
 }
 
 // Set holds the faults of one stand-in. The zero value is empty and ready.
@@ -114,6 +118,10 @@
 		if a.Kind != kind || a.left == 0 || !matches(a.Match, subjects) {
 			continue
 		}
+		a.matched++
+		if a.Every > 1 && a.matched%a.Every != 0 {
+			continue
+		}
 		if a.left > 0 {
 			a.left--
 		}
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -82,6 +82,7 @@
 		"late write":           {fault.Fault{Kind: fault.LateWrite, Count: 1, DelayMS: 5}, 0, true},
 		"down":                 {fault.Fault{Kind: fault.Down}, 503, false},
 		"slow":                 {fault.Fault{Kind: fault.Slow, DelayMS: 5}, 200, true},
+		"every second":         {fault.Fault{Kind: fault.Down, Every: 2}, 200, true},
 		"matches another path": {fault.Fault{Kind: fault.Down, Match: "/v1/objects"}, 200, true},
 		"matches the body":     {fault.Fault{Kind: fault.Down, Match: `"key":"a"`}, 503, false},
 	}
