--- a/instance/reserve/client.go
+++ b/instance/reserve/client.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// View returns the view in use, nil before the first Update.
+func (c *Client) View() *View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
 // Reserve asks homes in turn until one grants a slot.
 func (c *Client) Reserve(ctx context.Context, need queue.Arrived) (*dispatch.Grant, error) {
 	began := time.Now()
--- a/transport/peer/clients.go
+++ b/transport/peer/clients.go
@@ -52,6 +52,8 @@
 	home   peer.Home
 	entry  peer.Entry
 	member peer.Member
+
+	control peer.Control
 }
 
 // Home returns the client of the home at a peer address. Reserve is bounded by
@@ -64,6 +66,9 @@
 // Member returns the client of the member at a peer address.
 func (c *Clients) Member(address string) peer.Member { return c.at(address).member }
 
+// Control returns the client of the controls at a peer address.
+func (c *Clients) Control(address string) peer.Control { return c.at(address).control }
+
 // CloseIdle closes connections that carry no call.
 func (c *Clients) CloseIdle() {
 	c.once.Do(c.init)
@@ -97,6 +102,8 @@
 		},
 		entry:  peer.NewEntryProtobufClient(url, c.short),
 		member: peer.NewMemberProtobufClient(url, c.short),
+
+		control: peer.NewControlProtobufClient(url, c.short),
 	}
 	c.peers[address] = set
 	return set
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -54,6 +54,14 @@
 	return &wire.FetchManifestResponse{}, nil
 }
 
+func (*instance) Drain(context.Context, *wire.DrainRequest) (*wire.DrainResponse, error) {
+	return &wire.DrainResponse{}, nil
+}
+
+func (*instance) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	return &wire.StatusResponse{}, nil
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -67,7 +75,7 @@
 func serve(t *testing.T, secret string, i *instance) (string, *atomic.Int32) {
 	t.Helper()
 	listener := listen(t)
-	server := peer.NewServer(peer.Handler(secret, i, i, i))
+	server := peer.NewServer(peer.Handler(secret, peer.Services{Home: i, Entry: i, Member: i, Control: i}))
 	var connections atomic.Int32
 	server.ConnState = func(_ net.Conn, s http.ConnState) {
 		if s == http.StateNew {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -20,16 +20,25 @@
 	maxStreams = 16384
 )
 
-// Handler serves the three peer services to callers that know secret. An
-// empty secret admits nobody.
-func Handler(secret string, home peer.Home, entry peer.Entry, member peer.Member) http.Handler {
+// Services are what an instance offers to others; none is nil.
+type Services struct {
+	Home    peer.Home
+	Entry   peer.Entry
+	Member  peer.Member
+	Control peer.Control
+}
+
+// Handler serves the peer services to callers that know secret. An empty
+// secret admits nobody.
+func Handler(secret string, s Services) http.Handler {
 	mux := http.NewServeMux()
-	for _, s := range []peer.TwirpServer{
-		peer.NewHomeServer(home),
-		peer.NewEntryServer(entry),
-		peer.NewMemberServer(member),
+	for _, one := range []peer.TwirpServer{
+		peer.NewHomeServer(s.Home),
+		peer.NewEntryServer(s.Entry),
+		peer.NewMemberServer(s.Member),
+		peer.NewControlServer(s.Control),
 	} {
-		mux.Handle(s.PathPrefix(), s)
+		mux.Handle(one.PathPrefix(), one)
 	}
 	return &guard{secret: sha256.Sum256([]byte(secret)), empty: secret == "", next: mux}
 }
