--- a/coordination/queue/main_test.go
+++ b/coordination/queue/main_test.go
@@ -17,6 +17,7 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("20261204")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
