--- a/coordination/queue/admit.go
+++ b/coordination/queue/admit.go
@@ -121,22 +121,13 @@
 // surplus returns which waiter of a full line to refuse: one that is late, else
 // one of the workspace with the most waiters, else w.
 func (q *Queue) surplus(l *line, w *waiter) *waiter {
-	if f, ok := l.lanes[late].first(); ok {
-		return f.last(late)
-	}
-	if f, ok := l.crowded.first(); ok && f.waiting > w.flow.waiting {
-		return f.last(onTime)
+	f, _ := l.crowded.first()
+	if len(l.lanes[late].items) > 0 || f.waiting > w.flow.waiting {
+		return l.leastUrgent()
 	}
 	return w
 }
 
-// last returns a waiter of the lane that others go before: never the first
-// one, unless it is alone.
-func (f *flow) last(from lane) *waiter {
-	items := f.lanes[from].items
-	return items[len(items)-1]
-}
-
 // displace refuses a waiter of the lowest tier below w's, so that w can stay.
 func (q *Queue) displace(now time.Time, w *waiter) bool {
 	var lowest *line
@@ -157,15 +148,6 @@
 	return true
 }
 
-// leastUrgent returns a waiter to refuse first.
-func (l *line) leastUrgent() *waiter {
-	if f, ok := l.lanes[late].first(); ok {
-		return f.last(late)
-	}
-	f, _ := l.crowded.first()
-	return f.last(onTime)
-}
-
 // expectsMiss reports whether w is known to miss its target in the queue.
 func (q *Queue) expectsMiss(now time.Time, w *waiter) bool {
 	wait, known := q.expectedWait(now, w.line, q.ahead(w))
@@ -272,7 +254,7 @@
 		}
 	}
 	for _, other := range l.pool.lines {
-		if other.class.Tier <= l.class.Tier && len(other.lanes[onTime].items) > 0 {
+		if other.class.Tier <= l.class.Tier && other.inTime() {
 			return true
 		}
 	}
--- a/coordination/queue/dispatch.go
+++ b/coordination/queue/dispatch.go
@@ -265,7 +265,7 @@
 		large:     q.isLarge(u, w.PromptTokens),
 		expected:  u.Backlog() + u.PrefillTime(w.PromptTokens),
 		grantedAt: now,
-		kept:      c.due > 0,
+		kept:      c.due > 0 && w.line.pool.waitingAbove(w.line) > 0,
 	}
 	u.Start(now, r.PromptTokens, r.need)
 	u.awaiting = append(u.awaiting, r)
--- a/coordination/queue/line.go
+++ b/coordination/queue/line.go
@@ -82,6 +82,10 @@
 	} else {
 		l.crowded.fix(f.crowdIndex)
 	}
+	if w.front() {
+		l.enter(w, returned)
+		return
+	}
 	l.enter(w, onTime)
 }
 
@@ -176,6 +180,21 @@
 	return flows[:min(len(flows), candidateFlows)]
 }
 
+// leastUrgent returns the waiter to refuse first: a late one, else one of the
+// workspace with the most waiters.
+func (l *line) leastUrgent() *waiter {
+	if f, ok := l.lanes[late].first(); ok {
+		return f.leastUrgent()
+	}
+	f, _ := l.crowded.first()
+	return f.leastUrgent()
+}
+
+// inTime reports whether a waiter other than a late one waits.
+func (l *line) inTime() bool {
+	return len(l.lanes[returned].items)+len(l.lanes[onTime].items) > 0
+}
+
 // active returns the number of workspaces that wait.
 func (l *line) active() int { return len(l.crowded.items) }
 
--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -140,7 +140,8 @@
 	grantedAt  time.Time
 	progressAt time.Time
 	ended      bool
-	// kept work was granted by the minimum share and is not preempted.
+	// kept work was granted ahead of higher tiers, by the minimum share,
+	// and is not preempted.
 	kept       bool
 	preempting bool
 	// preemptedAt is when the holder was last asked to end it.
--- a/coordination/queue/waiter.go
+++ b/coordination/queue/waiter.go
@@ -31,7 +31,7 @@
 }
 
 // front reports whether the work was granted before: it goes before new work
-// of its workspace.
+// of its class and never counts as late.
 func (w *waiter) front() bool { return w.ResumeOffset > 0 || w.Attempt > 0 }
 
 func (w *waiter) excludes(u id.Upstream) bool {
@@ -44,20 +44,23 @@
 }
 
 func waiterBefore(a, b *waiter) bool {
-	if a.front() != b.front() {
-		return a.front()
-	}
 	if !a.FirstTokenBy.Equal(b.FirstTokenBy) {
 		return a.FirstTokenBy.Before(b.FirstTokenBy)
 	}
 	return a.sequence < b.sequence
 }
 
-// lane separates waiters by whether their target can still be met.
+// lane separates the waiters of a line by what goes first. Work that was
+// granted before has a lane of its own also because its excluded upstreams must
+// not hold up new work.
 type lane int
 
 const (
-	onTime lane = iota
+	// returned is work that was granted before.
+	returned lane = iota
+	// onTime is new work that can still meet its target.
+	onTime
+	// late is new work whose target has passed.
 	late
 	laneCount
 )
@@ -85,6 +88,16 @@
 	return f
 }
 
+// leastUrgent returns the waiter to refuse first.
+func (f *flow) leastUrgent() *waiter {
+	for from := laneCount - 1; from >= 0; from-- {
+		if items := f.lanes[from].items; len(items) > 0 {
+			return items[len(items)-1]
+		}
+	}
+	return nil
+}
+
 // class is the state of one class over all pools.
 type class struct {
 	manifest.Class
--- /dev/null
+++ b/coordination/suspect/suspect_test.go
@@ -0,0 +1,100 @@
+package suspect_test
+
+import (
+	"testing"
+	"time"
+
+	"samphirehead/coordination/suspect"
+	"samphirehead/state/id"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func crash(u id.Upstream, in ...suspect.InFlight) suspect.Crashed {
+	return suspect.Crashed{Upstream: u, InFlight: in}
+}
+
+func verdict(t *suspect.Tracker, now time.Time, f id.Fingerprint) suspect.Verdict {
+	return t.Step(now, suspect.Asked{Fingerprint: f})[0].(suspect.Judged).Verdict
+}
+
+func TestTracker(t *testing.T) {
+	bad := suspect.InFlight{Request: "q1", Fingerprint: 1}
+	innocent := suspect.InFlight{Request: "q2", Fingerprint: 2}
+	record := func(u id.Upstream, at time.Duration) suspect.Record {
+		return suspect.Record{Fingerprint: 1, Upstream: u, Request: "q1", At: start.Add(at)}
+	}
+	heard := func(r ...suspect.Record) suspect.Heard { return suspect.Heard{Records: r} }
+	tests := map[string]struct {
+		events []suspect.Event
+		after  time.Duration
+		bad    suspect.Verdict
+		other  suspect.Verdict
+		copies int
+	}{
+		"nothing seen":         {nil, 0, suspect.Clear, suspect.Clear, 2},
+		"one crash":            {[]suspect.Event{crash("e0", bad, innocent)}, 0, suspect.Suspected, suspect.Suspected, 1},
+		"two crashes tell who": {[]suspect.Event{crash("e0", bad, innocent), crash("e1", bad)}, 0, suspect.Quarantined, suspect.Suspected, 0},
+		"an innocent completes": {
+			[]suspect.Event{crash("e0", bad, innocent), suspect.Completed{Fingerprint: 2}}, 0, suspect.Suspected, suspect.Clear, 1},
+		"twice in flight at one crash is one crash": {
+			[]suspect.Event{crash("e0", bad, bad)}, 0, suspect.Suspected, suspect.Clear, 1},
+		"hearsay counts once": {
+			[]suspect.Event{heard(record("e0", 0)), heard(record("e0", 0))}, 0, suspect.Suspected, suspect.Clear, 1},
+		"hearsay of one's own crash": {
+			[]suspect.Event{crash("e0", bad), heard(record("e0", 0))}, 0, suspect.Suspected, suspect.Clear, 1},
+		"hearsay of another crash": {
+			[]suspect.Event{crash("e0", bad), heard(record("e1", 0))}, 0, suspect.Quarantined, suspect.Clear, 0},
+		"hearsay from before a completion": {
+			[]suspect.Event{suspect.Completed{Fingerprint: 1}, heard(record("e0", -time.Second))}, 0, suspect.Clear, suspect.Clear, suspect.Unlimited},
+		"a completion does not lift a quarantine": {
+			[]suspect.Event{crash("e0", bad), crash("e1", bad), suspect.Completed{Fingerprint: 1}}, 0, suspect.Quarantined, suspect.Clear, 0},
+		"a quarantine lapses": {
+			[]suspect.Event{crash("e0", bad), crash("e1", bad)}, time.Hour, suspect.Clear, suspect.Clear, 2},
+		"old hearsay": {
+			[]suspect.Event{heard(record("e0", -time.Hour))}, 0, suspect.Clear, suspect.Clear, 2},
+		"no fingerprint": {
+			[]suspect.Event{crash("e0", suspect.InFlight{}), crash("e1", suspect.InFlight{})}, 0, suspect.Clear, suspect.Clear, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker := &suspect.Tracker{}
+			for _, ev := range tt.events {
+				tracker.Step(start, ev)
+			}
+			now := start.Add(tt.after)
+			if got := verdict(tracker, now, 1); got != tt.bad {
+				t.Errorf("the poisonous one is %s, want %s", got, tt.bad)
+			}
+			if got := verdict(tracker, now, 2); got != tt.other {
+				t.Errorf("the innocent one is %s, want %s", got, tt.other)
+			}
+			if got := tracker.Copies(now, 1); got != tt.copies {
+				t.Errorf("%d copies, want %d", got, tt.copies)
+			}
+		})
+	}
+}
+
+func TestTrackerIsBounded(t *testing.T) {
+	tracker := &suspect.Tracker{Limit: 10}
+	for f := id.Fingerprint(1); f <= 100; f++ {
+		tracker.Step(start, crash("e0", suspect.InFlight{Request: "q", Fingerprint: f}))
+	}
+	if n := len(tracker.Records(start)); n != 10 {
+		t.Errorf("%d records are kept, want 10", n)
+	}
+}
+
+// A tracker that takes over another's records judges alike.
+func TestRecordsCarryOver(t *testing.T) {
+	old, fresh := &suspect.Tracker{}, &suspect.Tracker{}
+	old.Step(start, crash("e0", suspect.InFlight{Request: "q1", Fingerprint: 1}))
+	old.Step(start, crash("e1", suspect.InFlight{Request: "q1", Fingerprint: 1}, suspect.InFlight{Request: "q2", Fingerprint: 2}))
+	fresh.Step(start, suspect.Heard{Records: old.Records(start)})
+	for f := id.Fingerprint(1); f <= 2; f++ {
+		if got, want := verdict(fresh, start, f), verdict(old, start, f); got != want {
+			t.Errorf("%d is %s, want %s", f, got, want)
+		}
+	}
+}
