bench: isolate, stall and replace instances of the cluster

Each instance reaches the platform, and is reached by its peers, through a gate that can cut or hold back everything. The fake instance of the tests shows that cuts work both ways and end.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -46,7 +47,7 @@
 // Cluster is the whole composition. Its exported fields are set before Start.
 type Cluster struct {
 	// NewInstance makes an instance that has not listened yet.
-	NewInstance func(s settings.Settings) Instance
+	NewInstance NewInstance
 
 	Platform *platform.Platform
 	Engines  []*engine.Engine
@@ -65,8 +66,12 @@
 	version  id.ManifestVersion
 }
 
+// NewInstance makes an instance; peerFaults wraps what it sends through to its
+// peers.
+type NewInstance func(s settings.Settings, peerFaults func(http.RoundTripper) http.RoundTripper) Instance
+
 // New returns a cluster at the Trust's size.
-func New(newInstance func(s settings.Settings) Instance) *Cluster {
+func New(newInstance NewInstance) *Cluster {
 	return &Cluster{
 		NewInstance: newInstance,
 		Platform:    &platform.Platform{Address: "127.0.0.1:0", ListLag: 500 * time.Millisecond},
--- /dev/null
+++ b/bench/cluster/cluster_test.go
@@ -0,0 +1,192 @@
+package cluster_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"samphirehead/bench/cluster"
+	"samphirehead/state/manifest"
+	"samphirehead/state/settings"
+)
+
+// fakeInstance answers what Start needs, and can be asked to call the platform
+// and its peers.
+type fakeInstance struct {
+	settings settings.Settings
+	faults   func(http.RoundTripper) http.RoundTripper
+	all      *fakes
+
+	callers, peers, operators net.Listener
+}
+
+// fakes holds what the fake instances of one cluster share.
+type fakes struct {
+	mu        sync.Mutex
+	instances []*fakeInstance
+	manifest  *manifest.Manifest
+}
+
+func (f *fakes) make(s settings.Settings, faults func(http.RoundTripper) http.RoundTripper) cluster.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := &fakeInstance{settings: s, faults: faults, all: f}
+	f.instances = append(f.instances, i)
+	return i
+}
+
+func (i *fakeInstance) Listen() error {
+	for _, l := range []*net.Listener{&i.callers, &i.peers, &i.operators} {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		*l = listener
+	}
+	return nil
+}
+
+func (i *fakeInstance) CallerAddr() string   { return i.callers.Addr().String() }
+func (i *fakeInstance) PeerAddr() string     { return i.peers.Addr().String() }
+func (i *fakeInstance) OperatorAddr() string { return i.operators.Addr().String() }
+
+func (i *fakeInstance) Run(ctx context.Context) error {
+	handlers := map[net.Listener]http.HandlerFunc{
+		i.callers: func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"entries":["a","b","c","d"],"lifetime_ms":1000}`)
+		},
+		i.peers: func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "peer") },
+		i.operators: func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			m, err := manifest.Parse("manifest", body)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+				return
+			}
+			i.all.mu.Lock()
+			i.all.manifest = m
+			i.all.mu.Unlock()
+			_, _ = io.WriteString(w, `{"version":1}`)
+		},
+	}
+	ended := make(chan error)
+	for l, h := range handlers {
+		server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		go func() { ended <- server.Serve(l) }()
+	}
+	var err error
+	for range handlers {
+		if e := <-ended; !errors.Is(e, http.ErrServerClosed) {
+			err = e
+		}
+	}
+	return err
+}
+
+func start(t *testing.T) (*cluster.Cluster, *fakes) {
+	t.Helper()
+	f := &fakes{}
+	c := cluster.New(f.make)
+	t.Cleanup(func() {
+		if err := c.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := c.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return c, f
+}
+
+func TestStartAppliesAManifestOfTheTrustsSize(t *testing.T) {
+	c, f := start(t)
+	m := f.manifest
+	if len(c.Nodes()) != 4 || len(m.Upstreams) != 23 || len(m.Workspaces) != 10 {
+		t.Errorf("%d instances, %d upstreams, %d workspaces", len(c.Nodes()), len(m.Upstreams), len(m.Workspaces))
+	}
+	if got := c.Capacity(); got != 8000 {
+		t.Errorf("capacity %v", got)
+	}
+}
+
+// get reports whether a GET succeeds.
+func get(t *testing.T, via http.RoundTripper, address string) bool {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/v1/instances", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Close = true
+	response, err := via.RoundTrip(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func TestIsolationCutsBothWaysAndEnds(t *testing.T) {
+	c, f := start(t)
+	cut, other := f.instances[1], f.instances[0]
+	paths := map[string]func() bool{
+		"to the platform": func() bool { return get(t, http.DefaultTransport, cut.settings.PlatformAddress) },
+		"to a peer":       func() bool { return get(t, cut.faults(http.DefaultTransport), other.settings.AdvertisedPeerAddress) },
+		"from a peer":     func() bool { return get(t, other.faults(http.DefaultTransport), cut.settings.AdvertisedPeerAddress) },
+	}
+	for name, ok := range paths {
+		if !ok() {
+			t.Errorf("%s: broken before", name)
+		}
+	}
+	c.Nodes()[1].Isolate(time.Hour)
+	for name, ok := range paths {
+		if ok() {
+			t.Errorf("%s: not cut", name)
+		}
+	}
+	c.Nodes()[1].Isolate(0)
+	for name, ok := range paths {
+		if !ok() {
+			t.Errorf("%s: broken after", name)
+		}
+	}
+}
+
+func TestStallHoldsBackWithoutCutting(t *testing.T) {
+	c, f := start(t)
+	stalled := f.instances[1]
+	c.Nodes()[1].Stall(time.Hour)
+	answered := make(chan bool, 1)
+	go func() { answered <- get(t, http.DefaultTransport, stalled.settings.PlatformAddress) }()
+	select {
+	case <-answered:
+		t.Error("answered while stalled")
+	case <-time.After(50 * time.Millisecond):
+	}
+	c.Nodes()[1].Stall(0)
+	if !<-answered {
+		t.Error("cut by the stall")
+	}
+}
+
+func TestKilledInstanceIsReplacedUnderItsName(t *testing.T) {
+	c, f := start(t)
+	killed := c.Nodes()[2]
+	killed.Kill()
+	if err := c.Replace(killed); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(f.instances); n != 5 || f.instances[4].settings.Instance != "entry-3" {
+		t.Errorf("%d instances", n)
+	}
+	if killed.Serving() || !c.Nodes()[4].Serving() {
+		t.Error("the wrong one serves")
+	}
+}
--- a/bench/cluster/node.go
+++ b/bench/cluster/node.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"samphirehead/standin/platform"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
 	"samphirehead/state/settings"
@@ -60,7 +61,9 @@
 		LogLevel:              settings.LogWarning,
 		Limits:                settings.DefaultLimits(),
 	}
-	instance := c.NewInstance(s)
+	instance := c.NewInstance(s, func(next http.RoundTripper) http.RoundTripper {
+		return &link{next: next, gate: peerGate}
+	})
 	if err := instance.Listen(); err != nil {
 		return fault.At("start instance", name, err)
 	}
@@ -70,15 +73,29 @@
 		Name: name, Index: index, instance: instance, cancel: cancel, done: make(chan struct{}),
 		gates: []*gate{platformGate, peerGate},
 	}
-	go n.run(ctx)
+	c.list(n, s)
+	go n.run(ctx, c.Platform)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nodes = append(c.nodes, n)
 	return nil
 }
 
+// list puts the instance on the platform's list, as the platform does that
+// starts it.
+func (c *Cluster) list(n *Node, s settings.Settings) {
+	c.Platform.PutInstance(platform.Instance{
+		Instance:      n.Name,
+		FailureDomain: string(s.FailureDomain),
+		Region:        string(s.Region),
+		CallerAddress: n.instance.CallerAddr(),
+		PeerAddress:   s.AdvertisedPeerAddress,
+		State:         "live",
+	})
+}
+
 // run runs the instance and the gates before it until the instance ends.
-func (n *Node) run(ctx context.Context) {
+func (n *Node) run(ctx context.Context, p *platform.Platform) {
 	defer close(n.done)
 	gateCtx, closeGates := context.WithCancel(context.WithoutCancel(ctx))
 	var gates sync.WaitGroup
@@ -89,6 +106,7 @@
 	n.mu.Lock()
 	n.ended = time.Now()
 	n.mu.Unlock()
+	p.DeleteInstance(n.Name)
 	closeGates()
 	gates.Wait()
 }
@@ -114,14 +132,21 @@
 	n.cancel()
 }
 
-// Isolate cuts the instance off from the platform, and its peers from it, for
-// d.
+// Isolate cuts the instance off from the platform and its peers for d.
 func (n *Node) Isolate(d time.Duration) {
 	for _, g := range n.gates {
 		g.closeFor(d)
 	}
 }
 
+// Stall holds back for d what goes between the instance and the platform or its
+// peers, as if the instance had been paused.
+func (n *Node) Stall(d time.Duration) {
+	for _, g := range n.gates {
+		g.stallFor(d)
+	}
+}
+
 // Leave tells the instance to leave and waits until it has.
 func (n *Node) Leave(ctx context.Context) error {
 	n.mu.Lock()
@@ -146,8 +171,12 @@
 	return n.left, n.ended
 }
 
-// Replace starts a new run in the place of n, under the same name.
-func (c *Cluster) Replace(n *Node) error { return c.startNode(n.Index) }
+// Replace waits for the end of n and starts a new run in its place, under the
+// same name.
+func (c *Cluster) Replace(n *Node) error {
+	<-n.done
+	return c.startNode(n.Index)
+}
 
 // URL is where callers reach the instance.
 func (n *Node) URL() string { return "http://" + n.instance.CallerAddr() }
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -1,6 +1,8 @@
 package bench
 
 import (
+	"net/http"
+
 	"samphirehead/bench/cluster"
 	"samphirehead/state/settings"
 )
@@ -18,4 +20,6 @@
 // Policies lists all policies.
 func Policies() []Policy { return []Policy{Samphirehead, RoundRobin, LeastOutstanding} }
 
-func (p Policy) newInstance(_ settings.Settings) cluster.Instance { return nil }
+func (p Policy) newInstance(settings.Settings, func(http.RoundTripper) http.RoundTripper) cluster.Instance {
+	return nil
+}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -79,13 +79,20 @@
 // Replace starts the instance at a place anew once it has ended.
 type Replace struct{ Place int }
 
-// Isolate cuts the instance at a place off from the platform, and its peers
-// from it, for a share of the duration.
+// Isolate cuts the instance at a place off from the platform and its peers for
+// a share of the duration.
 type Isolate struct {
 	Place int
 	For   float64
 }
 
+// Pause holds back what goes between the instance at a place and the platform
+// or its peers for a share of the duration.
+type Pause struct {
+	Place int
+	For   float64
+}
+
 // Reapply applies the manifest again with a change that alters no decision.
 type Reapply struct{}
 
@@ -100,6 +107,7 @@
 func (Leave) action()         {}
 func (Replace) action()       {}
 func (Isolate) action()       {}
+func (Pause) action()         {}
 func (Reapply) action()       {}
 func (Race) action()          {}
 
--- a/bench/steps.go
+++ b/bench/steps.go
@@ -73,6 +73,11 @@
 			n.Isolate(share(c.duration, a.For))
 			return nil
 		})
+	case Pause:
+		return c.withNode(a.Place, func(n *cluster.Node) error {
+			n.Stall(share(c.duration, a.For))
+			return nil
+		})
 	case Reapply:
 		c.background.Go(func() { c.reapply(ctx) })
 	case Race:
