peer: wait for streams rather than open more connections

Cause: before a server's settings arrive, a client assumes 100 streams a connection and opens further ones, beyond the bound for dialling. Change: respect the server's limit over all connections. Before: 7 and 8 connections for 1000 waiting calls in 2 of 4 runs of TestManyWaitingCallsShareFewConnections (bound 4).

--- a/transport/peer/clients.go
+++ b/transport/peer/clients.go
@@ -130,8 +130,9 @@
 		IdleConnTimeout: idleTimeout,
 		MaxConnsPerHost: maxConnections,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter,
-			PingTimeout:     pingTimeout,
+			StrictMaxConcurrentRequests: true,
+			SendPingTimeout:             pingAfter,
+			PingTimeout:                 pingTimeout,
 		},
 	}
 }
