--- a/coordination/member/record.go
+++ b/coordination/member/record.go
@@ -35,14 +35,18 @@
 	Region        id.Region
 	CallerAddress string
 	PeerAddress   string
-	// Manifest is 0 while the instance is starting. It is a lower bound: an
-	// instance does not publish a new record for each version.
+	// Manifest is 0 while the instance is starting or holds a manifest that
+	// it knows to be out of date. Otherwise it is a lower bound, as not each
+	// version spreads a new record.
 	Manifest id.ManifestVersion
 	// Headroom is the free share of the instance's own capacity, 0 to 1.
 	Headroom float64
 	// Unreachable is local and never sent: the last direct probe failed,
 	// whatever others say.
 	Unreachable bool
+	// Held is local and never sent: the instance came back from dead more
+	// than once lately and has not been steady for long enough to be a home.
+	Held bool
 }
 
 // Ready reports whether the instance has a manifest and is neither suspect,
@@ -54,7 +58,7 @@
 // CanOwn reports whether the instance may be a home. A suspicion alone moves
 // no home, as the suspect may refute it.
 func (r Record) CanOwn() bool {
-	if r.Incarnation == 0 || r.Manifest == 0 {
+	if r.Incarnation == 0 || r.Manifest == 0 || r.Held {
 		return false
 	}
 	return r.State == Alive || r.State == Suspect
