members: drive the membership machine over the peer protocol

Run starts probes and feeds their results back; the handler answers those of others, relays indirect probes and carries stamps, summaries, record pages and crash reports. Each crash report reaches its callback once.

--- a/coordination/member/events.go
+++ b/coordination/member/events.go
@@ -60,6 +60,10 @@
 	Headroom float64
 }
 
+// Learned brings records that came outside of probes of one's own, such as the
+// answer of the target of an indirect probe for another instance.
+type Learned struct{ Records []Record }
+
 // Left makes the instance leave. It is not undone within an incarnation.
 type Left struct{}
 
@@ -70,6 +74,7 @@
 func (ProbeFailed) event()   {}
 func (Noticed) event()       {}
 func (Updated) event()       {}
+func (Learned) event()       {}
 func (Left) event()          {}
 
 // Effect is one output of the machine.
--- a/coordination/member/machine.go
+++ b/coordination/member/machine.go
@@ -132,19 +132,21 @@
 		m.notice(ev.Instance)
 	case Updated:
 		m.update(ev)
+	case Learned:
+		m.mergeAll(now, ev.Records)
 	case Left:
 		m.leave()
 	}
 	return m.effects
 }
 
-// Records returns Self and all known instances that are not dead and not only
-// listed, ordered by id.
+// Records returns Self and all instances, dead ones too, that have been heard
+// of from instances rather than from the list only, ordered by id.
 func (m *Machine) Records() []Record {
 	records := make([]Record, 0, len(m.names)+1)
 	records = append(records, m.Self)
 	for _, name := range m.names {
-		if p := m.peers[name]; p.Incarnation > 0 && p.State != Dead {
+		if p := m.peers[name]; p.Incarnation > 0 {
 			records = append(records, p.Record)
 		}
 	}
--- /dev/null
+++ b/instance/members/members_test.go
@@ -0,0 +1,217 @@
+package members_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/member"
+	"samphirehead/instance/members"
+	wire "samphirehead/protocol/peer"
+	"samphirehead/state/id"
+	"samphirehead/transport/peer"
+)
+
+// process is one instance over loopback.
+type process struct {
+	members *members.Members
+	faults  *peer.Faults
+	server  *http.Server
+	cancel  context.CancelFunc
+	done    chan error
+
+	mu        sync.Mutex
+	crashes   []member.Crash
+	summaries map[string]bool
+	versions  map[string]uint64
+}
+
+// cluster starts n processes that know each other from a list.
+func cluster(t *testing.T, n int) []*process {
+	t.Helper()
+	listeners := make([]net.Listener, n)
+	list := make([]member.Record, n)
+	for i := range n {
+		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = l
+		list[i] = member.Record{Instance: id.Instance(fmt.Sprint("i", i)), PeerAddress: l.Addr().String()}
+	}
+	processes := make([]*process, n)
+	for i := range n {
+		processes[i] = start(t, list, i, listeners[i])
+	}
+	return processes
+}
+
+func start(t *testing.T, list []member.Record, i int, l net.Listener) *process {
+	t.Helper()
+	p := &process{
+		faults: &peer.Faults{}, done: make(chan error, 2),
+		summaries: map[string]bool{}, versions: map[string]uint64{},
+	}
+	self := list[i]
+	self.Incarnation, self.State, self.Manifest = 1, member.Alive, 1
+	name := string(self.Instance)
+	clients := &peer.Clients{Secret: "s", Wrap: p.faults.Wrap}
+	p.members = &members.Members{
+		Machine:  &member.Machine{Self: self, Random: rand.New(rand.NewPCG(1, uint64(i)))},
+		Remote:   clients.Member,
+		Evidence: peer.EvidenceOf,
+		List:     func(context.Context) ([]member.Record, error) { return list, nil },
+		Stamp:    func() *wire.Stamp { return &wire.Stamp{Instance: name, ManifestVersion: uint64(10 + i)} },
+		Seen: func(s *wire.Stamp) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.versions[s.Instance] = s.ManifestVersion
+		},
+		Summary: func() *wire.Summary { return &wire.Summary{Instance: name} },
+		HearSummary: func(s *wire.Summary) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.summaries[s.Instance] = true
+		},
+		HearCrash: func(c member.Crash) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.crashes = append(p.crashes, c)
+		},
+		Manifest: func() *wire.FetchManifestResponse {
+			return &wire.FetchManifestResponse{Version: 1, Yaml: []byte(name)}
+		},
+	}
+	p.server = peer.NewServer(peer.Handler("s", nil, nil, p.members, nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() { p.done <- p.server.Serve(l) }()
+	go func() { p.done <- p.members.Run(ctx) }()
+	t.Cleanup(func() { p.stop(t) })
+	return p
+}
+
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	if p.cancel == nil {
+		return
+	}
+	p.cancel()
+	p.cancel = nil
+	_ = p.server.Close()
+	for range 2 {
+		if err := <-p.done; err != nil && !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	}
+}
+
+// eventually waits for a condition, far longer than it should take.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 1500 {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func (p *process) believes(instance id.Instance) member.State {
+	for _, r := range p.members.Records() {
+		if r.Instance == instance {
+			return r.State
+		}
+	}
+	return ""
+}
+
+func TestProcessesFindAndLoseEachOther(t *testing.T) {
+	all := cluster(t, 4)
+	eventually(t, "all are ready for all", func() bool {
+		for _, p := range all {
+			for i := range all {
+				if p.believes(id.Instance(fmt.Sprint("i", i))) != member.Alive {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	eventually(t, "stamps and summaries go round", func() bool {
+		p := all[0]
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.versions) == 3 && p.versions["i2"] == 12 && p.summaries["i1"] && p.summaries["i3"]
+	})
+
+	crash := member.Crash{Fingerprint: 7, Upstream: "u", Request: "r", At: time.Now()}
+	all[1].members.ReportCrash(crash)
+	eventually(t, "the crash is heard by all others", func() bool { return countHeard(all, 7) == 3 })
+
+	manifest, err := all[0].members.FetchManifestFrom(t.Context(), "i3")
+	if err != nil || string(manifest.Yaml) != "i3" {
+		t.Errorf("manifest %v, %v", manifest, err)
+	}
+
+	all[2].members.Leave()
+	eventually(t, "i2 is leaving for all", func() bool { return allBelieve(all, 2, member.Leaving) })
+	all[2].stop(t)
+	eventually(t, "i2 is dead for all", func() bool { return allBelieve(all, 2, member.Dead) })
+	if got := countHeard(all, 7); got != 3 {
+		t.Errorf("the crash was heard %d times by 3 others", got)
+	}
+}
+
+func countHeard(all []*process, fingerprint id.Fingerprint) int {
+	heard := 0
+	for _, p := range all {
+		p.mu.Lock()
+		for _, c := range p.crashes {
+			if c.Fingerprint == fingerprint {
+				heard++
+			}
+		}
+		p.mu.Unlock()
+	}
+	return heard
+}
+
+func allBelieve(all []*process, target int, state member.State) bool {
+	for i, p := range all {
+		if i != target && p.believes(id.Instance(fmt.Sprint("i", target))) != state {
+			return false
+		}
+	}
+	return true
+}
+
+// TestOneWayLoss checks over real connections that the loss of one direction
+// leaves the instance alive, known as not directly reachable.
+func TestOneWayLoss(t *testing.T) {
+	all := cluster(t, 3)
+	address := all[1].members.Self().PeerAddress
+	eventually(t, "i1 is alive for i0", func() bool { return all[0].believes("i1") == member.Alive })
+	all[0].faults.Lose(address, peer.LoseRequests)
+	unreachable := func() bool {
+		for _, r := range all[0].members.Records() {
+			if r.Instance == "i1" {
+				return r.Unreachable
+			}
+		}
+		return false
+	}
+	eventually(t, "i0 notices that it cannot reach i1", unreachable)
+	if got := all[0].believes("i1"); got != member.Alive {
+		t.Errorf("i1 is %s for i0", got)
+	}
+	all[0].faults.Restore(address)
+	eventually(t, "i0 reaches i1 again", func() bool { return !unreachable() })
+}
--- /dev/null
+++ b/instance/members/probe.go
@@ -0,0 +1,134 @@
+package members
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/member"
+	"samphirehead/protocol/peer"
+	"samphirehead/state/id"
+)
+
+// probe carries out one probe and returns its result.
+func (m *Members) probe(ctx context.Context, p member.Probe) member.Event {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	response, err := m.Remote(p.Address).Probe(ctx, m.request(p))
+	if err != nil {
+		klog.V(3).InfoS("probe failed", "instance", p.To, "target", p.Target, "err", err)
+		return member.ProbeFailed{Number: p.Number, Evidence: m.Evidence(err)}
+	}
+	m.hear(response.Stamp, response.Summaries, response.Crashes)
+	return member.ProbeAnswered{
+		Number:  p.Number,
+		From:    id.Instance(response.GetStamp().GetInstance()),
+		Reached: response.Reached,
+		Records: peer.Records(response.Members),
+		Page:    peer.Records(response.Page),
+	}
+}
+
+func (m *Members) request(p member.Probe) *peer.ProbeRequest {
+	return &peer.ProbeRequest{
+		Stamp:     m.Stamp(),
+		Target:    string(p.Target),
+		Members:   peer.RecordsFrom(p.Records),
+		Summaries: m.summaries(),
+		Crashes:   m.takeCrashes(),
+		Sync:      p.Sync,
+		SyncAfter: string(p.SyncAfter),
+	}
+}
+
+// Probe answers another instance, after asking the target if there is one.
+func (m *Members) Probe(ctx context.Context, r *peer.ProbeRequest) (*peer.ProbeResponse, error) {
+	m.hear(r.Stamp, r.Summaries, r.Crashes)
+	reply := m.step(member.Heard{
+		From:      id.Instance(r.GetStamp().GetInstance()),
+		Records:   peer.Records(r.Members),
+		Sync:      r.Sync,
+		SyncAfter: id.Instance(r.SyncAfter),
+	})
+	reached := r.Target == "" || m.relay(ctx, id.Instance(r.Target), reply.Records)
+	return &peer.ProbeResponse{
+		Stamp:     m.Stamp(),
+		Reached:   reached,
+		Members:   peer.RecordsFrom(reply.Records),
+		Summaries: m.summaries(),
+		Crashes:   m.takeCrashes(),
+		Page:      peer.RecordsFrom(reply.Page),
+	}, nil
+}
+
+// relay probes target for another instance.
+func (m *Members) relay(ctx context.Context, target id.Instance, records []member.Record) bool {
+	r, known := m.Lookup(target)
+	if !known {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	response, err := m.Remote(r.PeerAddress).Probe(ctx, &peer.ProbeRequest{
+		Stamp:   m.Stamp(),
+		Members: peer.RecordsFrom(records),
+	})
+	if err != nil || response.GetStamp().GetInstance() != string(target) {
+		return false
+	}
+	m.hear(response.Stamp, response.Summaries, response.Crashes)
+	m.step(member.Learned{Records: peer.Records(response.Members)})
+	return true
+}
+
+// FetchManifest serves the manifest in force here.
+func (m *Members) FetchManifest(_ context.Context, r *peer.FetchManifestRequest) (*peer.FetchManifestResponse, error) {
+	m.seen(r.Stamp)
+	response := m.Manifest()
+	response.Stamp = m.Stamp()
+	return response, nil
+}
+
+func (m *Members) hear(stamp *peer.Stamp, summaries []*peer.Summary, crashes []*peer.Crash) {
+	m.seen(stamp)
+	for _, s := range summaries {
+		m.HearSummary(s)
+	}
+	now := time.Now()
+	for _, c := range crashes {
+		m.hearCrash(now, c.Report(now))
+	}
+}
+
+func (m *Members) seen(stamp *peer.Stamp) {
+	if stamp != nil {
+		m.Seen(stamp)
+	}
+}
+
+func (m *Members) hearCrash(now time.Time, c member.Crash) {
+	m.mu.Lock()
+	isNew := m.crashes.Add(now, c, len(m.Machine.Records()))
+	m.mu.Unlock()
+	if isNew {
+		m.HearCrash(c)
+	}
+}
+
+func (m *Members) takeCrashes() []*peer.Crash {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return peer.CrashesFrom(m.crashes.Take(now), now)
+}
+
+func (m *Members) summaries() []*peer.Summary {
+	s := m.Summary()
+	if s == nil {
+		return nil
+	}
+	return []*peer.Summary{s}
+}
+
+var _ peer.Member = (*Members)(nil)
--- a/protocol/peer/members.go
+++ b/protocol/peer/members.go
@@ -1,3 +1,5 @@
+// Package peer holds the messages between instances and their mapping to the
+// events of the decisions.
 package peer
 
 import (
