--- a/instance/members/members_test.go
+++ b/instance/members/members_test.go
@@ -88,7 +88,7 @@
 			return &wire.FetchManifestResponse{Version: 1, Yaml: []byte(name)}
 		},
 	}
-	p.server = peer.NewServer(peer.Handler("s", nil, nil, p.members, nil))
+	p.server = peer.NewServer(peer.Handler("s", peer.Services{Member: p.members}))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	go func() { p.done <- p.server.Serve(l) }()
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -20,24 +20,40 @@
 	maxStreams = 16384
 )
 
-// Services are what an instance offers to others; none is nil.
+// Services are what an instance offers to others. A nil one is not served.
 type Services struct {
 	Home    peer.Home
 	Entry   peer.Entry
 	Member  peer.Member
 	Control peer.Control
+	Limit   peer.Limit
+}
+
+func (s Services) servers() []peer.TwirpServer {
+	var servers []peer.TwirpServer
+	if s.Home != nil {
+		servers = append(servers, peer.NewHomeServer(s.Home))
+	}
+	if s.Entry != nil {
+		servers = append(servers, peer.NewEntryServer(s.Entry))
+	}
+	if s.Member != nil {
+		servers = append(servers, peer.NewMemberServer(s.Member))
+	}
+	if s.Control != nil {
+		servers = append(servers, peer.NewControlServer(s.Control))
+	}
+	if s.Limit != nil {
+		servers = append(servers, peer.NewLimitServer(s.Limit))
+	}
+	return servers
 }
 
 // Handler serves the peer services to callers that know secret. An empty
 // secret admits nobody.
 func Handler(secret string, s Services) http.Handler {
 	mux := http.NewServeMux()
-	for _, one := range []peer.TwirpServer{
-		peer.NewHomeServer(s.Home),
-		peer.NewEntryServer(s.Entry),
-		peer.NewMemberServer(s.Member),
-		peer.NewControlServer(s.Control),
-	} {
+	for _, one := range s.servers() {
 		mux.Handle(one.PathPrefix(), one)
 	}
 	return &guard{secret: sha256.Sum256([]byte(secret)), empty: secret == "", next: mux}
