--- a/bench/cluster/apply.go
+++ b/bench/cluster/apply.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	standinfault "samphirehead/standin/fault"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
@@ -100,3 +101,22 @@
 	_, m := c.current()
 	c.accept(version, m)
 }
+
+const spreadPoll = 5 * time.Millisecond
+
+// Spread waits until each serving instance has at least the version that was
+// accepted last, and returns how long that took. It gives up with ctx.
+func (c *Cluster) Spread(ctx context.Context) time.Duration {
+	began := time.Now()
+	version, _ := c.current()
+	for _, n := range c.Nodes() {
+		for n.Serving() && ctx.Err() == nil {
+			got, _, err := n.Operator().Manifest(ctx)
+			if err == nil && got >= version {
+				break
+			}
+			standinfault.Sleep(ctx, spreadPoll)
+		}
+	}
+	return time.Since(began)
+}
--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -27,7 +27,7 @@
 
 // Run starts a cluster, runs the scenario and scores it.
 func (e *Experiment) Run(ctx context.Context) (score.Result, Report, error) {
-	c := cluster.New(e.Policy.newInstance)
+	c := cluster.New(e.Policy.NewInstance)
 	err := c.Start(ctx)
 	if err != nil {
 		_ = c.Stop()
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -20,6 +20,7 @@
 // Policies lists all policies.
 func Policies() []Policy { return []Policy{Samphirehead, RoundRobin, LeastOutstanding} }
 
-func (p Policy) newInstance(settings.Settings, func(http.RoundTripper) http.RoundTripper) cluster.Instance {
+// NewInstance makes an instance that follows the policy.
+func (p Policy) NewInstance(settings.Settings, func(http.RoundTripper) http.RoundTripper) cluster.Instance {
 	return nil
 }
--- a/bench/report.go
+++ b/bench/report.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"time"
 
 	"samphirehead/bench/cluster"
 	"samphirehead/bench/load"
@@ -14,6 +15,10 @@
 	"samphirehead/state/id"
 )
 
+// recoveryTime is how long the others may take to make up for an instance that
+// has died.
+const recoveryTime = 3 * time.Second
+
 // Report is what a run shows besides its Result.
 type Report struct {
 	// StepErrors counts steps of the scenario that failed.
@@ -23,6 +28,13 @@
 	// RacesWithTwoWinners counts races in which more than one manifest was
 	// accepted against the same version.
 	RacesWithTwoWinners int
+	// SlowestSpread is the longest time from an accepted manifest to its
+	// being in force on all serving instances.
+	SlowestSpread time.Duration
+	// Recovered is the outcome of what was sent recoveryTime or more after
+	// the last instance died; nil if none died.
+	Recovered []score.Class
+	lastKill  time.Time
 	// Faults counts the faults that struck.
 	Faults map[fault.Kind]int
 	// Crashes counts crashes of engines by the request that caused them.
@@ -55,21 +67,31 @@
 			}
 		}
 	}
-	var others []*load.Record
+	var others, recovered []*load.Record
 	for _, record := range records {
 		if record.Job.Key != "" {
 			r.Keys[record.Outcome]++
 		}
+		if record.Sent.After(r.lastKill.Add(recoveryTime)) {
+			recovered = append(recovered, record)
+		}
 		if record.Job.Workspace != offender {
 			others = append(others, record)
 		}
 	}
 	if offender != "" {
-		run := score.Run{Records: others, Duration: 1}
-		r.Others = run.Score().Classes
+		r.Others = classesOf(others)
+	}
+	if !r.lastKill.IsZero() {
+		r.Recovered = classesOf(recovered)
 	}
 }
 
+func classesOf(records []*load.Record) []score.Class {
+	run := score.Run{Records: records, Duration: time.Second}
+	return run.Score().Classes
+}
+
 func (r *Report) addFaults(struck map[fault.Kind]int) {
 	for kind, n := range struck {
 		r.Faults[kind] += n
@@ -82,16 +104,22 @@
 	fmt.Fprintf(w, "engine crashes by match:%s; outdated orders that took effect: %d\n", counts(r.Crashes), r.OutdatedOrders)
 	fmt.Fprintf(w, "at-most-once calls by outcome:%s\n", counts(r.Keys))
 	if r.AppliesTried > 0 {
-		fmt.Fprintf(w, "manifests tried %d, accepted %d, races with two winners %d\n", r.AppliesTried, r.AppliesAccepted, r.RacesWithTwoWinners)
-	}
-	for _, c := range r.Others {
-		fmt.Fprintf(w, "without the offending workspace: %s sent %d, completed %d, attained %.1f%%\n", c.Class, c.Sent, c.Completed, 100*c.Attainment)
+		fmt.Fprintf(w, "manifests tried %d, accepted %d, races with two winners %d, slowest spread %d ms\n",
+			r.AppliesTried, r.AppliesAccepted, r.RacesWithTwoWinners, r.SlowestSpread.Milliseconds())
 	}
+	printClasses(w, "without the offending workspace", r.Others)
+	printClasses(w, "from 3 s after the last death", r.Recovered)
 	if r.StepErrors > 0 {
 		fmt.Fprintf(w, "steps that failed: %d\n", r.StepErrors)
 	}
 }
 
+func printClasses(w io.Writer, which string, classes []score.Class) {
+	for _, c := range classes {
+		fmt.Fprintf(w, "%s: %s sent %d, completed %d, attained %.1f%%\n", which, c.Class, c.Sent, c.Completed, 100*c.Attainment)
+	}
+}
+
 func counts[K ~string](m map[K]int) string {
 	if len(m) == 0 {
 		return " none"
--- a/bench/steps.go
+++ b/bench/steps.go
@@ -12,6 +12,9 @@
 	"samphirehead/standin/fault"
 )
 
+// longestSpread bounds the wait for a manifest to be in force everywhere.
+const longestSpread = 10 * time.Second
+
 // conductor carries out the steps of a scenario.
 type conductor struct {
 	cluster  *cluster.Cluster
@@ -60,7 +63,11 @@
 			s.Faults.Add(c.lasting(a.Fault, a.For))
 		}
 	case Kill:
-		return c.withNode(a.Place, func(n *cluster.Node) error { n.Kill(); return nil })
+		return c.withNode(a.Place, func(n *cluster.Node) error {
+			n.Kill()
+			c.killed(time.Now())
+			return nil
+		})
 	case Leave:
 		return c.withNode(a.Place, func(n *cluster.Node) error {
 			c.background.Go(func() { c.leave(ctx, n) })
@@ -122,6 +129,12 @@
 	return errors.Newf("no instance at place %d", place)
 }
 
+func (c *conductor) killed(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report.lastKill = at
+}
+
 func (c *conductor) leave(ctx context.Context, n *cluster.Node) {
 	if err := n.Leave(ctx); err != nil && ctx.Err() == nil {
 		c.failed(err)
@@ -129,23 +142,28 @@
 }
 
 func (c *conductor) reapply(ctx context.Context) {
-	accepted, err := c.cluster.Reapply(ctx, 1)
-	c.applied(1, accepted, err)
+	c.submit(ctx, 1)
 }
 
 // race applies as many manifests as there are instances.
 func (c *conductor) race(ctx context.Context) {
-	operators := len(c.cluster.URLs())
-	accepted, err := c.cluster.Reapply(ctx, operators)
-	c.applied(operators, accepted, err)
+	c.submit(ctx, len(c.cluster.URLs()))
 }
 
-func (c *conductor) applied(tried, accepted int, err error) {
+func (c *conductor) submit(ctx context.Context, tried int) {
+	accepted, err := c.cluster.Reapply(ctx, tried)
 	if err != nil {
 		c.failed(err)
 	}
+	spread := time.Duration(0)
+	if accepted > 0 {
+		ctx, cancel := context.WithTimeout(ctx, longestSpread)
+		spread = c.cluster.Spread(ctx)
+		cancel()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.report.SlowestSpread = max(c.report.SlowestSpread, spread)
 	c.report.AppliesTried += tried
 	c.report.AppliesAccepted += accepted
 	if accepted > 1 {
