transport/platform: add the client of the platform's services

A lost answer must not pass for a refusal: at-most-once calls and manifest versions rest on the difference. Write returns a sealed result that tells written, conflicted, refused (cannot take effect) and unknown (may have) apart. Reads are hedged and repeated once, a circuit breaker refuses at once while the service fails, and each instance keeps to an equal share of the write and read rates. Tested against a table of faults.

--- /dev/null
+++ b/transport/platform/client.go
@@ -0,0 +1,215 @@
+// Package platform is the client of the platform's services: the
+// transactional table, the object store, the instance list and the weight
+// store.
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+	"github.com/sony/gobreaker/v2"
+	"golang.org/x/time/rate"
+
+	"samphirehead/state/fault"
+)
+
+// Defaults of the client's bounds.
+const (
+	DefaultWritesPerSecond = 300
+	DefaultReadsPerSecond  = 2000
+	DefaultTimeout         = 400 * time.Millisecond
+	DefaultHedgeAfter      = 100 * time.Millisecond
+	DefaultOpenFor         = time.Second
+
+	tripAfterFailures = 5
+	idleConnections   = 64
+	burst             = 250 * time.Millisecond
+)
+
+// ErrUnavailable marks errors of a service that is down, over its rate, or
+// kept from being asked by the circuit breaker.
+var ErrUnavailable = errors.New("platform unavailable")
+
+// ErrNotFound marks reads of an absent object.
+var ErrNotFound = errors.New("not found")
+
+// Client speaks to the platform. Set the exported fields before the first
+// call. All methods may be called at the same time.
+type Client struct {
+	// Address is the base URL, such as http://127.0.0.1:7000.
+	Address string
+	// Secret is sent as a bearer token; empty sends none.
+	Secret string
+	// WritesPerSecond and ReadsPerSecond bound the calls of all instances
+	// together; each instance takes an equal share. 0 means the default.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// Timeout bounds each call whose context has no earlier deadline; 0
+	// means the default. Objects and weights use the context alone.
+	Timeout time.Duration
+	// HedgeAfter is how long a read waits before it is sent a second time;
+	// 0 means the default.
+	HedgeAfter time.Duration
+	// OpenFor is how long an open circuit breaker refuses calls before it
+	// lets one through; 0 means the default.
+	OpenFor time.Duration
+
+	once    sync.Once
+	http    *http.Client
+	table   *gobreaker.CircuitBreaker[reply]
+	objects *gobreaker.CircuitBreaker[reply]
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+}
+
+func (c *Client) init() { c.once.Do(c.build) }
+
+func (c *Client) build() {
+	c.WritesPerSecond = orDefault(c.WritesPerSecond, DefaultWritesPerSecond)
+	c.ReadsPerSecond = orDefault(c.ReadsPerSecond, DefaultReadsPerSecond)
+	c.Timeout = orDefault(c.Timeout, DefaultTimeout)
+	c.HedgeAfter = orDefault(c.HedgeAfter, DefaultHedgeAfter)
+	c.OpenFor = orDefault(c.OpenFor, DefaultOpenFor)
+	c.http = &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: c.Timeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}}
+	c.table = c.breaker("table")
+	c.objects = c.breaker("objects")
+	c.writes = rate.NewLimiter(0, 1)
+	c.reads = rate.NewLimiter(0, 1)
+	c.share(1)
+}
+
+func orDefault[V comparable](v, preset V) V {
+	var zero V
+	if v == zero {
+		return preset
+	}
+	return v
+}
+
+func (c *Client) breaker(name string) *gobreaker.CircuitBreaker[reply] {
+	return gobreaker.NewCircuitBreaker[reply](gobreaker.Settings{
+		Name:    name,
+		Timeout: c.OpenFor,
+		ReadyToTrip: func(n gobreaker.Counts) bool {
+			return n.ConsecutiveFailures >= tripAfterFailures
+		},
+		IsExcluded: func(err error) bool { return errors.Is(err, context.Canceled) },
+	})
+}
+
+// SetInstances sets the number of live instances that share the platform's
+// rate.
+func (c *Client) SetInstances(n int) {
+	c.init()
+	c.share(max(n, 1))
+}
+
+func (c *Client) share(instances int) {
+	divide(c.writes, c.WritesPerSecond, instances)
+	divide(c.reads, c.ReadsPerSecond, instances)
+}
+
+func divide(l *rate.Limiter, total float64, instances int) {
+	limit := rate.Limit(total / float64(instances))
+	l.SetLimit(limit)
+	l.SetBurst(max(1, int(float64(limit)*burst.Seconds())))
+}
+
+// Available reports whether the circuit breaker of the table lets calls
+// through.
+func (c *Client) Available() bool {
+	c.init()
+	return c.table.State() != gobreaker.StateOpen
+}
+
+func (c *Client) request() *sling.Sling {
+	s := sling.New().Client(c.http).Base(c.Address)
+	if c.Secret == "" {
+		return s
+	}
+	return s.Set("Authorization", "Bearer "+c.Secret)
+}
+
+// reply is the head of an answer; status is 0 where none came.
+type reply struct {
+	status int
+	header http.Header
+}
+
+// exchange is one HTTP call: what went out and what came back.
+type exchange struct {
+	reply
+	// sent is set when a byte of the request may have left.
+	sent bool
+	err  error
+}
+
+// do sends what s describes through the circuit breaker b and decodes a body
+// of status 2xx into success and of any other into failure; both may be nil.
+func (c *Client) do(ctx context.Context, b *gobreaker.CircuitBreaker[reply], s *sling.Sling, success, failure any) exchange {
+	request, err := s.Request()
+	if err != nil {
+		return exchange{err: err}
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	r, err := b.Execute(func() (reply, error) { return send(s, request, success, failure) })
+	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
+		err = errors.Mark(err, ErrUnavailable)
+	}
+	return exchange{reply: r, sent: connected.Load(), err: err}
+}
+
+// send makes one HTTP call. A status of 500 or more is an error, and so is a
+// body of status 2xx that cannot be decoded.
+func send(s *sling.Sling, request *http.Request, success, failure any) (reply, error) {
+	response, err := s.Do(request, success, failure) //nolint:bodyclose // Do closes it
+	if response == nil {
+		return reply{}, err
+	}
+	r := reply{status: response.StatusCode, header: response.Header}
+	if r.status >= http.StatusInternalServerError {
+		return r, errors.Wrapf(ErrUnavailable, "status %d", r.status)
+	}
+	if r.status < http.StatusMultipleChoices {
+		return r, err
+	}
+	return r, nil
+}
+
+// retryAfter returns how long the service asked to be left alone; 0 where it
+// named no delay.
+func (r reply) retryAfter() time.Duration {
+	seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// fail makes the error of a call that did not give a usable answer.
+func (c *Client) fail(step string, x exchange) error {
+	if x.err != nil {
+		return fault.At(step, c.Address, x.err)
+	}
+	switch x.status {
+	case http.StatusNotFound:
+		return fault.At(step, c.Address, ErrNotFound)
+	case http.StatusTooManyRequests:
+		return fault.At(step, c.Address, errors.Wrapf(ErrUnavailable, "status %d", x.status))
+	}
+	return fault.At(step, c.Address, errors.Newf("status %d", x.status))
+}
--- /dev/null
+++ b/transport/platform/client_test.go
@@ -0,0 +1,201 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/state/record"
+	"samphirehead/transport/platform"
+)
+
+// drop closes the connection without an answer.
+func drop(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func status(code int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "2")
+		w.WriteHeader(code)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+func serve(t *testing.T, h http.HandlerFunc) *platform.Client {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return &platform.Client{Address: s.URL, Timeout: 5 * time.Second}
+}
+
+func TestWriteTellsRefusedFromUnknown(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    record.WriteResult
+	}{
+		{"written", status(200, `{"versions":[4]}`), record.Written{}},
+		{"conflict", status(409, `{"conflicts":[{"key":"k","version":7,"value":"YQ=="}]}`), record.Conflicted{}},
+		{"down", status(503, ``), record.Refused{}},
+		{"over the rate", status(429, ``), record.Refused{}},
+		{"rejected", status(400, ``), record.Refused{}},
+		{"failed inside", status(500, ``), record.Unknown{}},
+		{"gateway timeout", status(504, ``), record.Unknown{}},
+		{"answer lost", drop, record.Unknown{}},
+		{"answer cut short", status(200, `{"versions":[`), record.Unknown{}},
+		{"versions missing", status(200, `{"versions":[]}`), record.Unknown{}},
+		{"conflict without rows", status(409, `{}`), record.Unknown{}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := serve(t, tc.handler)
+			got := c.Write(t.Context(), []record.Write{{Key: "k", Expected: 3, Value: []byte("b")}})
+			if reflect.TypeOf(got) != reflect.TypeOf(tc.want) {
+				t.Fatalf("got %T %+v, want %T", got, got, tc.want)
+			}
+			if r, ok := got.(record.Conflicted); ok && (r.Rows[0].Version != 7 || string(r.Rows[0].Value) != "a") {
+				t.Fatalf("got rows %+v", r.Rows)
+			}
+			if r, ok := got.(record.Refused); ok && tc.name == "down" && r.RetryAfter != 2*time.Second {
+				t.Fatalf("got retry after %v", r.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestWriteRefusedWhenNothingListens(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	s.Close()
+	c := &platform.Client{Address: s.URL}
+	if got, ok := c.Write(t.Context(), []record.Write{{Key: "k"}}).(record.Refused); !ok {
+		t.Fatalf("got %T, want Refused", got)
+	}
+}
+
+func TestWriteUnknownAfterTimeout(t *testing.T) {
+	release := make(chan struct{})
+	c := serve(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	c.Timeout = 20 * time.Millisecond
+	if got, ok := c.Write(t.Context(), []record.Write{{Key: "k"}}).(record.Unknown); !ok {
+		t.Fatalf("got %T, want Unknown", got)
+	}
+}
+
+func TestWriteSendsTheProtocol(t *testing.T) {
+	var got map[string]any
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewDecoder(r.Body).Decode(&got)
+		status(200, `{"versions":[1,2]}`)(w, r)
+	})
+	c.Write(t.Context(), []record.Write{{Key: "a", Value: []byte("x")}, {Key: "b", Expected: 2, Delete: true}})
+	want := map[string]any{"writes": []any{
+		map[string]any{"key": "a", "expected_version": 0.0, "value": "eA=="},
+		map[string]any{"key": "b", "expected_version": 2.0, "value": nil, "delete": true},
+	}}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
+func TestReadIsRepeatedAfterALostAnswer(t *testing.T) {
+	var calls atomic.Int32
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			drop(w, r)
+		}
+		status(200, `{"rows":[{"key":"k","version":2,"value":"YQ=="}]}`)(w, r)
+	})
+	rows, err := c.Read(t.Context(), []record.Key{"k"})
+	if err != nil || len(rows) != 1 || rows[0].Version != 2 {
+		t.Fatalf("got %v, %v", rows, err)
+	}
+}
+
+func TestSlowReadIsHedged(t *testing.T) {
+	var calls atomic.Int32
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if calls.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		status(200, `{"rows":[]}`)(w, r)
+	})
+	c.HedgeAfter = time.Millisecond
+	if _, err := c.Read(t.Context(), []record.Key{"k"}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestOpenBreakerRefusesWithoutSending(t *testing.T) {
+	var calls atomic.Int32
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		drop(w, r)
+	})
+	c.OpenFor = time.Hour
+	for range 20 {
+		c.Write(t.Context(), []record.Write{{Key: "k"}})
+	}
+	if got := c.Write(t.Context(), []record.Write{{Key: "k"}}); !errors.Is(got.(record.Refused).Err, platform.ErrUnavailable) {
+		t.Fatalf("got %+v", got)
+	}
+	if n := calls.Load(); n != 5 {
+		t.Fatalf("%d calls reached the service, want 5", n)
+	}
+	if c.Available() {
+		t.Fatal("table reported available with an open breaker")
+	}
+}
+
+func TestRateIsSharedAmongInstances(t *testing.T) {
+	var calls atomic.Int32
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		status(200, `{"versions":[1]}`)(w, r)
+	})
+	c.WritesPerSecond = 0.004
+	c.SetInstances(4)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c.Write(ctx, []record.Write{{Key: "k"}})
+	if _, ok := c.Write(ctx, []record.Write{{Key: "k"}}).(record.Refused); !ok || calls.Load() != 1 {
+		t.Fatalf("%d calls reached the service, want 1", calls.Load())
+	}
+}
+
+func TestObjects(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		put     error
+		get     error
+	}{
+		{"exists", status(412, ``), platform.ErrExists, nil},
+		{"absent", status(404, ``), nil, platform.ErrNotFound},
+		{"down", status(503, ``), platform.ErrUnavailable, platform.ErrUnavailable},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := serve(t, tc.handler)
+			if err := c.PutObject(t.Context(), "a/b", []byte("x")); tc.put != nil && !errors.Is(err, tc.put) {
+				t.Errorf("put: got %v, want %v", err, tc.put)
+			}
+			if _, err := c.GetObject(t.Context(), "a/b"); err == nil || tc.get != nil && !errors.Is(err, tc.get) {
+				t.Errorf("get: got %v, want %v", err, tc.get)
+			}
+		})
+	}
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte(r.URL.Path)) })
+	if body, err := c.GetObject(t.Context(), "manifest/3/op"); err != nil || string(body) != "/v1/objects/manifest/3/op" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+}
--- /dev/null
+++ b/transport/platform/object.go
@@ -0,0 +1,161 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+)
+
+const (
+	stepPutObject = "put object"
+	stepGetObject = "get object"
+	stepInstances = "list instances"
+	stepRegister  = "register instance"
+	stepWithdraw  = "withdraw instance"
+	stepWeights   = "get weights"
+
+	maxObjectBytes = 64 << 20
+)
+
+// ErrExists marks a conditional put of an object that exists already.
+var ErrExists = errors.New("object exists")
+
+// PutObject stores an object that must not exist yet; the error is marked
+// ErrExists when it does. After any other error the object may exist.
+func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
+	c.init()
+	call := c.request().Put(objectPath(name)).Set("If-None-Match", "*").Body(bytes.NewReader(body))
+	x := c.do(ctx, c.objects, call, nil, nil)
+	if x.status == http.StatusPreconditionFailed {
+		return fault.At(stepPutObject, c.Address, ErrExists)
+	}
+	if x.err != nil || x.status >= http.StatusMultipleChoices {
+		return c.fail(stepPutObject, x)
+	}
+	return nil
+}
+
+// GetObject returns an object; the error is marked ErrNotFound when it does
+// not exist.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	c.init()
+	var body []byte
+	call := c.request().Get(objectPath(name)).ResponseDecoder(bytesDecoder{})
+	x := c.do(ctx, c.objects, call, &body, nil)
+	if x.err != nil || x.status != http.StatusOK {
+		return nil, c.fail(stepGetObject, x)
+	}
+	return body, nil
+}
+
+func objectPath(name string) string {
+	parts := strings.Split(name, "/")
+	for i, p := range parts {
+		parts[i] = url.PathEscape(p)
+	}
+	return "/v1/objects/" + strings.Join(parts, "/")
+}
+
+// bytesDecoder decodes a body into a *[]byte as it is.
+type bytesDecoder struct{}
+
+// Decode reads the body of r into v, a *[]byte.
+func (bytesDecoder) Decode(r *http.Response, v any) error {
+	into, ok := v.(*[]byte)
+	if !ok {
+		return errors.Newf("cannot decode into %T", v)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxObjectBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxObjectBytes {
+		return errors.New("body too large")
+	}
+	*into = body
+	return nil
+}
+
+// InstanceState says whether an instance goes on.
+type InstanceState string
+
+// The states of an instance in the platform's list.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+)
+
+// Instance is one entry of the platform's list.
+type Instance struct {
+	Instance      id.Instance      `json:"instance"`
+	FailureDomain id.FailureDomain `json:"failure_domain"`
+	Region        id.Region        `json:"region"`
+	// CallerAddress and PeerAddress are an IP number and a TCP port each.
+	CallerAddress string        `json:"caller_address"`
+	PeerAddress   string        `json:"peer_address"`
+	State         InstanceState `json:"state"`
+}
+
+// Instances returns the platform's list, which lags, and the time of which it
+// speaks.
+func (c *Client) Instances(ctx context.Context) ([]Instance, time.Time, error) {
+	c.init()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	var list struct {
+		AsOfMS    int64      `json:"as_of_ms"`
+		Instances []Instance `json:"instances"`
+	}
+	x := c.do(ctx, c.objects, c.request().Get("/v1/instances"), &list, nil)
+	if x.err != nil || x.status != http.StatusOK {
+		return nil, time.Time{}, c.fail(stepInstances, x)
+	}
+	return list.Instances, time.UnixMilli(list.AsOfMS), nil
+}
+
+// Register puts an instance on the list, in place of a machine platform that
+// does so by itself.
+func (c *Client) Register(ctx context.Context, i Instance) error {
+	c.init()
+	call := c.request().Put("/v1/instances/" + url.PathEscape(string(i.Instance))).BodyJSON(i)
+	x := c.do(ctx, c.objects, call, nil, nil)
+	if x.err != nil || x.status >= http.StatusMultipleChoices {
+		return c.fail(stepRegister, x)
+	}
+	return nil
+}
+
+// Withdraw takes an instance off the list.
+func (c *Client) Withdraw(ctx context.Context, i id.Instance) error {
+	c.init()
+	x := c.do(ctx, c.objects, c.request().Delete("/v1/instances/"+url.PathEscape(string(i))), nil, nil)
+	if x.err != nil || x.status >= http.StatusMultipleChoices {
+		return c.fail(stepWithdraw, x)
+	}
+	return nil
+}
+
+// Weights reads the weights of a model version. Over the store's rate, the
+// error is marked ErrUnavailable and the delay it asked for is returned.
+func (c *Client) Weights(ctx context.Context, m id.Model, version string) ([]byte, time.Duration, error) {
+	c.init()
+	var body []byte
+	path := "/v1/weights/" + url.PathEscape(string(m)) + "/" + url.PathEscape(version)
+	x := c.do(ctx, c.objects, c.request().Get(path).ResponseDecoder(bytesDecoder{}), &body, nil)
+	if x.status == http.StatusTooManyRequests {
+		return nil, x.retryAfter(), c.fail(stepWeights, x)
+	}
+	if x.err != nil || x.status != http.StatusOK {
+		return nil, 0, c.fail(stepWeights, x)
+	}
+	return body, 0, nil
+}
