leave: shut down in phases without cutting a request

Announced for the lifetime of entries answers and 0.5 s more, then refusing until the last request has ended and, for at most 5 s, the reservations that others hold here. Rapid checks after each event that nothing is cut, nothing new is taken after 3 s and no phase is undone.

--- /dev/null
+++ b/coordination/leave/leave_test.go
@@ -0,0 +1,100 @@
+package leave_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"samphirehead/coordination/leave"
+)
+
+// TestPhases walks through a shutdown and checks each answer on the way.
+func TestPhases(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := &leave.Machine{}
+	for _, c := range []struct {
+		after time.Duration
+		event leave.Event
+		want  leave.Phase
+	}{
+		{0, leave.Ticked{}, leave.Serving},
+		{0, leave.InFlight{}, leave.Serving},
+		{0, leave.Asked{}, leave.Announced},
+		{2 * time.Second, leave.InFlight{}, leave.Announced},
+		{2400 * time.Millisecond, leave.Asked{}, leave.Announced},
+		{2500 * time.Millisecond, leave.InFlight{}, leave.Refusing},
+		{2501 * time.Millisecond, leave.Ticked{}, leave.Refusing},
+		{2600 * time.Millisecond, leave.InFlight{Requests: 1}, leave.Refusing},
+		{time.Hour, leave.InFlight{Requests: 1}, leave.Refusing},
+		{time.Hour, leave.Asked{}, leave.Refusing},
+		{time.Hour, leave.InFlight{}, leave.Done},
+		{time.Hour, leave.InFlight{Requests: 1}, leave.Done},
+	} {
+		m.Step(start.Add(c.after), c.event)
+		if m.Phase() != c.want {
+			t.Fatalf("after %s and %T: %s, want %s", c.after, c.event, m.Phase(), c.want)
+		}
+	}
+}
+
+// TestHeldReservationsDelayTheEndForAWhile checks that reservations of others
+// are waited for, but not for ever.
+func TestHeldReservationsDelayTheEndForAWhile(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := &leave.Machine{}
+	m.Step(start, leave.Asked{})
+	m.Step(start.Add(3*time.Second), leave.Ticked{})
+	m.Step(start.Add(4*time.Second), leave.InFlight{Waiting: 1})
+	if m.Done() {
+		t.Fatal("did not wait for a held reservation")
+	}
+	m.Step(start.Add(10*time.Second), leave.InFlight{Waiting: 1})
+	if !m.Done() {
+		t.Fatal("waits for ever for a held reservation")
+	}
+}
+
+// TestPromises checks after each of many random events that no request is
+// cut, no new work is taken after 3 s, and no phase is undone.
+func TestPromises(t *testing.T) {
+	order := map[leave.Phase]int{leave.Serving: 0, leave.Announced: 1, leave.Refusing: 2, leave.Done: 3}
+	rapid.Check(t, func(t *rapid.T) {
+		m := &leave.Machine{}
+		now := time.Unix(1000, 0)
+		var asked time.Time
+		last, requests := leave.Serving, 0
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			if m.Accepting() {
+				requests += rapid.IntRange(0, 2).Draw(t, "arrived")
+			}
+			requests -= rapid.IntRange(0, requests).Draw(t, "ended")
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				m.Step(now, leave.Asked{})
+				if asked.IsZero() {
+					asked = now
+				}
+			case 1:
+				m.Step(now, leave.Ticked{})
+			default:
+				m.Step(now, leave.InFlight{Requests: requests})
+			}
+			if m.Done() && requests > 0 {
+				t.Fatalf("done with %d requests in progress", requests)
+			}
+			if !asked.IsZero() && m.Named() {
+				t.Fatal("named after it was asked to leave")
+			}
+			m.Step(now, leave.Ticked{})
+			if !asked.IsZero() && m.Accepting() && now.Sub(asked) >= 3*time.Second {
+				t.Fatalf("accepts %s after it was asked", now.Sub(asked))
+			}
+			if order[m.Phase()] < order[last] {
+				t.Fatalf("from %s back to %s", last, m.Phase())
+			}
+			last = m.Phase()
+		}
+	})
+}
