--- a/bench/policy.go
+++ b/bench/policy.go
@@ -3,7 +3,11 @@
 import (
 	"net/http"
 
+	"samphirehead/bench/baseline"
 	"samphirehead/bench/cluster"
+	"samphirehead/instance"
+	"samphirehead/instance/dispatch"
+	"samphirehead/state/manifest"
 	"samphirehead/state/settings"
 )
 
@@ -21,6 +25,12 @@
 func Policies() []Policy { return []Policy{Samphirehead, RoundRobin, LeastOutstanding} }
 
 // NewInstance makes an instance that follows the policy.
-func (p Policy) NewInstance(settings.Settings, func(http.RoundTripper) http.RoundTripper) cluster.Instance {
-	return nil
+func (p Policy) NewInstance(s settings.Settings, faults func(http.RoundTripper) http.RoundTripper) cluster.Instance {
+	i := &instance.Instance{Settings: &s, PeerFaults: faults}
+	if p != Samphirehead {
+		i.Baseline = func(index func() *manifest.Index) dispatch.Dispatcher {
+			return &baseline.Dispatcher{Choice: baseline.Choice(p), Index: index}
+		}
+	}
+	return i
 }
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,83 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
+
+	"samphirehead/instance"
+	"samphirehead/state/settings"
+)
+
+// serveCommand runs one instance until it is told to leave.
+type serveCommand struct {
+	settings string
+}
+
+func init() { register(groupRun, &serveCommand{}) }
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run one instance" }
+func (*serveCommand) Usage() string {
+	return "serve -settings FILE\n\n" +
+		"Runs one instance. SIGTERM makes it leave: it takes no new work and ends\n" +
+		"when the requests in progress have ended. A second SIGTERM ends it at once.\n\n"
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "the settings `file`")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	setLogging(os.Stderr, s.LogLevel)
+	if err := serve(ctx, s); err != nil {
+		klog.ErrorS(err, "instance failed", "instance", s.Instance)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// serve runs an instance; the first signal makes it leave, the second ends it.
+func serve(ctx context.Context, s *settings.Settings) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+
+	i := &instance.Instance{Settings: s}
+	if err := i.Listen(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+	leaving := false
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-signals:
+			if leaving {
+				cancel()
+				continue
+			}
+			leaving = true
+			i.Drain()
+		}
+	}
+}
--- /dev/null
+++ b/instance/entry/call.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/queue"
+	"samphirehead/instance/dispatch"
+	"samphirehead/protocol/answer"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/metrics"
+	"samphirehead/transport/caller"
+	"samphirehead/transport/service"
+)
+
+// droppedHeaders are the request headers that no plain service gets.
+var droppedHeaders = []string{"Authorization", "Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Keep-Alive", "Proxy-Authorization", "Accept-Encoding"}
+
+// serviceCall is the state of one call of a plain service. It belongs to one
+// goroutine.
+type serviceCall struct {
+	entry *Entry
+	in    caller.ServiceCall
+	route manifest.Route
+	class manifest.Class
+	need  queue.Arrived
+	wait  time.Duration
+}
+
+// Call runs a call of a plain service.
+func (e *Entry) Call(ctx context.Context, in caller.ServiceCall) (answer.Result, caller.ServiceAnswer) {
+	var nothing answer.Progress
+	c, failure := e.newCall(in)
+	if failure != nil {
+		return nothing.End(*failure), caller.ServiceAnswer{}
+	}
+	if f := e.Admit(in.Workspace, 0); f != nil {
+		return nothing.End(*f), caller.ServiceAnswer{}
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.need.Deadline)
+	defer cancel()
+	var result answer.Result
+	var out caller.ServiceAnswer
+	if c.route.Semantics == manifest.AtMostOnce {
+		result, out = c.runOnce(ctx)
+	} else {
+		result, out = c.runRepeatable(ctx)
+	}
+	c.observe(result)
+	return result, out
+}
+
+// newCall checks a call against the manifest.
+func (e *Entry) newCall(in caller.ServiceCall) (*serviceCall, *answer.Failure) {
+	x := e.Index()
+	if !x.HasService(in.Service) {
+		return nil, &answer.Failure{Reason: answer.ReasonNotFound, Message: "no such service: " + string(in.Service)}
+	}
+	route, found := x.Route(in.Service, in.Method, in.Path)
+	if !found {
+		return nil, &answer.Failure{Reason: answer.ReasonNotFound, Message: "the service has no route " + in.Method + " " + in.Path}
+	}
+	if !x.Allows(in.Workspace, route.Class) {
+		return nil, &answer.Failure{Reason: answer.ReasonForbidden, Message: "the workspace may not use class " + string(route.Class)}
+	}
+	if route.Semantics == manifest.AtMostOnce && in.IdempotencyKey == "" {
+		return nil, &answer.Failure{Reason: answer.ReasonKeyMissing, Message: "the route runs at most once and needs an Idempotency-Key header"}
+	}
+	class, _ := x.Class(route.Class)
+	return &serviceCall{entry: e, in: in, route: route, class: class, wait: -1, need: queue.Arrived{
+		Request:        in.Request,
+		Pool:           id.ServicePool(in.Service),
+		Class:          class.Name,
+		Workspace:      in.Workspace,
+		FirstTokenBy:   in.Arrived.Add(class.FirstToken),
+		Deadline:       in.Arrived.Add(class.TotalDeadline),
+		MustNotPreempt: true,
+	}}, nil
+}
+
+// reserve waits for a slot of a worker.
+func (c *serviceCall) reserve(ctx context.Context) (*dispatch.Grant, error) {
+	c.need.Reservation = id.Reservation(uuid.NewString())
+	c.need.Attempt++
+	grant, err := c.entry.Dispatcher.Reserve(ctx, c.need)
+	if err == nil && c.wait < 0 {
+		c.wait = grant.Wait
+	}
+	return grant, err
+}
+
+// runRepeatable calls workers until one answers.
+func (c *serviceCall) runRepeatable(ctx context.Context) (answer.Result, caller.ServiceAnswer) {
+	var progress answer.Progress
+	for attempts := 1; ; attempts++ {
+		grant, err := c.reserve(ctx)
+		if err != nil {
+			return progress.End(refusalFailure(err)), caller.ServiceAnswer{}
+		}
+		attempt := c.entry.Services.Repeatable(ctx, c.message(grant))
+		if _, none := attempt.(service.NothingSent); !none {
+			progress.MayHaveSent()
+		}
+		c.release(ctx, grant, attempt)
+		if answered, ok := attempt.(service.Answered); ok {
+			return answer.Completed{}, serviceAnswer(answered.Answer)
+		}
+		c.log(grant, attempt)
+		if ctx.Err() != nil {
+			return progress.End(contextFailure(context.Cause(ctx))), caller.ServiceAnswer{}
+		}
+		if attempts == maxAttempts {
+			return progress.End(answer.Failure{Reason: answer.ReasonUpstream, Message: "no worker of the service answered", RetryAfter: defaultRetryAfter}), caller.ServiceAnswer{}
+		}
+		c.need.Excluded = append(c.need.Excluded, grant.Upstream.Name)
+	}
+}
+
+func (c *serviceCall) log(grant *dispatch.Grant, attempt service.Attempt) {
+	klog.V(1).InfoS("attempt failed", "request", c.in.Request, "workspace", c.in.Workspace, "class", c.class.Name,
+		"upstream", grant.Upstream.Name, "err", attemptError(attempt))
+}
+
+func attemptError(a service.Attempt) error {
+	switch a := a.(type) {
+	case service.NothingSent:
+		return a.Err
+	case service.MayHaveSent:
+		return a.Err
+	default:
+		return nil
+	}
+}
+
+// message is the call as a worker gets it.
+func (c *serviceCall) message(grant *dispatch.Grant) service.Call {
+	header := c.in.Header.Clone()
+	for _, name := range droppedHeaders {
+		header.Del(name)
+	}
+	header.Set(caller.HeaderRequestID, string(c.in.Request))
+	target := c.in.Path
+	if c.in.Query != "" {
+		target += "?" + c.in.Query
+	}
+	return service.Call{
+		Address: grant.Upstream.Address,
+		Method:  c.in.Method,
+		Target:  target,
+		Header:  header,
+		Body:    c.in.Body,
+	}
+}
+
+func (c *serviceCall) release(ctx context.Context, grant *dispatch.Grant, a service.Attempt) {
+	c.entry.Dispatcher.Release(grant, dispatch.Ending{Outcome: callOutcome(ctx, a)})
+}
+
+func callOutcome(ctx context.Context, a service.Attempt) queue.Outcome {
+	switch a := a.(type) {
+	case service.Answered:
+		if a.Answer.Status >= http.StatusInternalServerError {
+			return queue.Failed
+		}
+		return queue.Completed
+	case service.NothingSent:
+		if ctx.Err() != nil {
+			return queue.Cancelled
+		}
+		return queue.Unreachable
+	default:
+		if ctx.Err() != nil {
+			return queue.Cancelled
+		}
+		return queue.Crashed
+	}
+}
+
+func serviceAnswer(a service.Answer) caller.ServiceAnswer {
+	return caller.ServiceAnswer{Status: a.Status, Header: a.Header, Body: a.Body}
+}
+
+func (c *serviceCall) observe(result answer.Result) {
+	first := time.Duration(-1)
+	if _, done := result.(answer.Completed); done {
+		first = time.Since(c.in.Arrived)
+	}
+	c.entry.Metrics.Observe(metrics.Observation{
+		Class:      c.class.Name,
+		Workspace:  c.in.Workspace,
+		Outcome:    outcomeOf(result),
+		QueueWait:  c.wait,
+		FirstToken: first,
+	})
+}
+
+// runOnce runs a call at most once.
+func (c *serviceCall) runOnce(context.Context) (answer.Result, caller.ServiceAnswer) {
+	var progress answer.Progress
+	return progress.End(answer.Failure{Reason: answer.ReasonPlatformDown, Message: "calls that run at most once are not served"}), caller.ServiceAnswer{}
+}
+
+// Outcome tells again how an at-most-once call ended.
+func (e *Entry) Outcome(context.Context, caller.ServiceCall) (answer.Result, caller.ServiceAnswer) {
+	var progress answer.Progress
+	return progress.End(answer.Failure{Reason: answer.ReasonNotFound, Message: "no such outcome"}), caller.ServiceAnswer{}
+}
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -15,6 +15,7 @@
 	"samphirehead/state/manifest"
 	"samphirehead/state/metrics"
 	"samphirehead/transport/engine"
+	"samphirehead/transport/service"
 )
 
 const (
@@ -32,6 +33,7 @@
 type Entry struct {
 	Dispatcher dispatch.Dispatcher
 	Engines    *engine.Client
+	Services   *service.Client
 	Metrics    *metrics.Registry
 	// Index is the manifest in force.
 	Index func() *manifest.Index
--- a/instance/entry/generate.go
+++ b/instance/entry/generate.go
@@ -154,7 +154,6 @@
 	g.need.Attempt++
 	ctx, stop := untilPreempted(ctx, grant)
 	defer stop()
-	g.progress.Sending()
 	_, err := g.entry.Engines.Stream(ctx, engine.Request{
 		Address:           grant.Upstream.Address,
 		Request:           g.in.Request,
@@ -170,6 +169,9 @@
 		}
 		return g.deliver(grant, ev)
 	})
+	if !errors.Is(err, engine.ErrNotSent) {
+		g.progress.MayHaveSent()
+	}
 	g.entry.Dispatcher.Release(grant, dispatch.Ending{
 		Outcome:    endingOf(ctx, err),
 		Tokens:     g.next,
--- a/instance/homes/home.go
+++ b/instance/homes/home.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/suspect"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
 )
@@ -34,6 +35,13 @@
 func (Granted) decision() {}
 func (Refused) decision() {}
 
+// waiter is a reservation that waits.
+type waiter struct {
+	class id.Class
+	// decided has room for one decision.
+	decided chan Decision
+}
+
 // Home drives the queue of one instance. The exported fields are set before
 // Run.
 type Home struct {
@@ -48,9 +56,8 @@
 	Ended func(r queue.Released)
 
 	mu sync.Mutex
-	// waiters holds a channel with room for one decision for each
-	// reservation that waits.
-	waiters map[id.Reservation]chan Decision
+	// waiters holds each reservation that waits.
+	waiters map[id.Reservation]waiter
 	// granted holds the reservations whose slots are in use.
 	granted map[id.Reservation]id.Upstream
 }
@@ -94,7 +101,7 @@
 	wait := make(chan Decision, 1)
 	h.mu.Lock()
 	h.init()
-	h.waiters[a.Reservation] = wait
+	h.waiters[a.Reservation] = waiter{class: a.Class, decided: wait}
 	h.apply(h.Queue.Step(time.Now(), a))
 	h.mu.Unlock()
 
@@ -154,6 +161,31 @@
 	}
 }
 
+// Hear takes in what other instances tell of suspect requests.
+func (h *Home) Hear(ev suspect.Heard) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Queue.Suspects.Step(time.Now(), ev)
+}
+
+// Held counts the reservations that wait or are in use here.
+func (h *Home) Held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.waiters) + len(h.granted)
+}
+
+// Queued counts the waiting reservations of each class.
+func (h *Home) Queued() map[id.Class]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[id.Class]int)
+	for _, w := range h.waiters {
+		out[w.class]++
+	}
+	return out
+}
+
 // Summary says how busy each pool is here.
 func (h *Home) Summary() []queue.PoolState {
 	h.mu.Lock()
@@ -170,7 +202,7 @@
 
 func (h *Home) init() {
 	if h.waiters == nil {
-		h.waiters = make(map[id.Reservation]chan Decision)
+		h.waiters = make(map[id.Reservation]waiter)
 		h.granted = make(map[id.Reservation]id.Upstream)
 	}
 }
@@ -207,5 +239,5 @@
 		return
 	}
 	delete(h.waiters, r)
-	wait <- d
+	wait.decided <- d
 }
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,317 @@
+// Package instance composes one samphirehead process: entry, home, member and
+// holder of leases, behind listeners for callers, peers and operators.
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/member"
+	"samphirehead/coordination/queue"
+	"samphirehead/coordination/suspect"
+	"samphirehead/instance/dispatch"
+	"samphirehead/instance/entry"
+	"samphirehead/instance/homes"
+	"samphirehead/instance/manifests"
+	"samphirehead/instance/members"
+	"samphirehead/instance/reserve"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/metrics"
+	"samphirehead/state/settings"
+	"samphirehead/transport/caller"
+	"samphirehead/transport/engine"
+	"samphirehead/transport/operator"
+	"samphirehead/transport/peer"
+	"samphirehead/transport/platform"
+	"samphirehead/transport/service"
+)
+
+// Instance is one process. Its exported fields are set before Listen.
+type Instance struct {
+	Settings *settings.Settings
+	// Baseline, unless nil, replaces reservations at homes by a policy that
+	// it makes. It serves to measure what homes bring.
+	Baseline func(index func() *manifest.Index) dispatch.Dispatcher
+	// PeerFaults, unless nil, loses messages to peers in tests.
+	PeerFaults func(http.RoundTripper) http.RoundTripper
+
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+
+	incarnation id.Incarnation
+	registry    metrics.Registry
+	suspects    *suspect.Tracker
+	clients     *peer.Clients
+	platform    *platform.Client
+	engines     *engine.Client
+	services    *service.Client
+	members     *members.Members
+	manifests   *manifests.Manifests
+	home        *homes.Home
+	reserver    *reserve.Client
+	entry       *entry.Entry
+	leaving     leaving
+
+	// index is that of the manifest in force; nil before the first.
+	index atomic.Pointer[indexed]
+	// dead holds the members that were dead at the last reconfiguration.
+	dead map[id.Instance]bool
+	// inFlight counts callers' requests in progress.
+	inFlight atomic.Int64
+	// calls holds calls for the background.
+	calls chan func(context.Context) error
+}
+
+// indexed is a manifest in force.
+type indexed struct {
+	version id.ManifestVersion
+	index   *manifest.Index
+	taken   time.Time
+}
+
+// Listen opens the three listeners and builds the parts.
+func (i *Instance) Listen() error {
+	var err error
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&i.callers, i.Settings.CallerAddress},
+		{&i.peers, i.Settings.PeerAddress},
+		{&i.operators, i.Settings.OperatorAddress},
+	} {
+		config := net.ListenConfig{}
+		if *l.into, err = config.Listen(context.Background(), "tcp", l.address); err != nil {
+			return fault.At("listen", l.address, err)
+		}
+	}
+	i.incarnation = id.Incarnation(time.Now().UnixNano())
+	i.dead = make(map[id.Instance]bool)
+	i.calls = make(chan func(context.Context) error, queuedBackground)
+	i.leaving.init()
+	i.build()
+	return nil
+}
+
+// CallerAddr returns the callers' address once Listen has returned.
+func (i *Instance) CallerAddr() string { return i.callers.Addr().String() }
+
+// PeerAddr returns the peers' address once Listen has returned.
+func (i *Instance) PeerAddr() string { return i.peers.Addr().String() }
+
+// OperatorAddr returns the operators' address once Listen has returned.
+func (i *Instance) OperatorAddr() string { return i.operators.Addr().String() }
+
+// Index returns the manifest in force, nil before the first.
+func (i *Instance) Index() *manifest.Index {
+	current := i.index.Load()
+	if current == nil {
+		return nil
+	}
+	return current.index
+}
+
+func (i *Instance) build() {
+	i.clients = &peer.Clients{Secret: i.Settings.PeerSecret.Reveal(), Wrap: i.PeerFaults}
+	i.platform = &platform.Client{Address: "http://" + i.Settings.PlatformAddress}
+	i.engines = &engine.Client{HTTP: engine.NewHTTP()}
+	i.services = &service.Client{}
+	i.suspects = &suspect.Tracker{}
+	i.buildMembers()
+	i.buildManifests()
+	i.buildHome()
+	i.buildEntry()
+}
+
+func (i *Instance) buildHome() {
+	i.home = &homes.Home{
+		Queue: &queue.Queue{
+			Conservative: conservativeFor,
+			Headroom:     tierHeadroom,
+			LargePrefill: largePrefill,
+			Suspects:     i.suspects,
+		},
+		Preempt: i.preempt,
+	}
+	i.reserver = &reserve.Client{
+		Self:          i.Settings.Instance,
+		FailureDomain: i.Settings.FailureDomain,
+		Local:         i.home,
+		Remote:        i.clients.Home,
+		Stamp:         i.stamp,
+		Seen:          i.seen,
+	}
+}
+
+func (i *Instance) buildEntry() {
+	i.entry = &entry.Entry{
+		Dispatcher: i.reserver,
+		Engines:    i.engines,
+		Services:   i.services,
+		Metrics:    &i.registry,
+		Index:      i.Index,
+		Admit:      i.admit,
+		Used:       i.used,
+		Crashed:    i.crashed,
+	}
+	if i.Baseline != nil {
+		i.entry.Dispatcher = i.Baseline(i.Index)
+	}
+}
+
+const (
+	// conservativeFor is how long a new home holds back until entries have
+	// registered what runs.
+	conservativeFor = time.Second
+	// tierHeadroom is the share of slots that is kept for higher tiers.
+	tierHeadroom = 0.1
+	// largePrefill is the prefill time from which a prompt counts as large.
+	largePrefill = 300 * time.Millisecond
+	// drainPoll is how often a leaving instance looks whether it may end.
+	drainPoll = 20 * time.Millisecond
+	// maxBackground bounds the calls in the background at a time,
+	// queuedBackground those that wait.
+	maxBackground    = 64
+	queuedBackground = 1024
+)
+
+// task is a part that runs until its context ends.
+type task struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Run serves until ctx ends, which cuts everything, or until the instance has
+// left. It returns the first error of any part.
+func (i *Instance) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tasks := i.tasks()
+	ended := make(chan error, len(tasks))
+	for _, t := range tasks {
+		go func() { ended <- fault.At("run "+t.name, "", t.run(ctx)) }()
+	}
+	klog.InfoS("instance started", "instance", i.Settings.Instance, "callers", i.CallerAddr(), "peers", i.PeerAddr(), "operators", i.OperatorAddr())
+	var first error
+	for range tasks {
+		err := <-ended
+		first = errors.CombineErrors(first, err)
+		// The end of any part, also the drain, ends the others.
+		cancel()
+	}
+	return first
+}
+
+func (i *Instance) tasks() []task {
+	return []task{
+		{"members", i.members.Run},
+		{"manifests", i.manifests.Run},
+		{"home", i.home.Run},
+		{"reservations", i.reserver.Run},
+		{"load reports", i.readReports},
+		{"reconfiguration", i.watch},
+		{"calls in the background", i.runBackground},
+		{"leaving", i.runLeaving},
+		{"callers", func(ctx context.Context) error { return serveHTTP(ctx, i.callers, i.callerServer()) }},
+		{"peers", func(ctx context.Context) error { return serveHTTP(ctx, i.peers, i.peerServer()) }},
+		{"operators", func(ctx context.Context) error { return serveHTTP(ctx, i.operators, i.operatorServer()) }},
+	}
+}
+
+// serveHTTP serves until ctx ends.
+func serveHTTP(ctx context.Context, l net.Listener, s *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fault.At("serve", l.Addr().String(), err)
+}
+
+func (i *Instance) callerServer() *http.Server {
+	l := i.Settings.Limits
+	server := &caller.Server{
+		Backend:       (*callerBackend)(i),
+		MaxBodyBytes:  l.MaxBodyBytes,
+		MaxConcurrent: l.MaxConcurrentRequests,
+		BodyTimeout:   l.BodyTimeout,
+		WriteTimeout:  l.WriteTimeout,
+	}
+	return &http.Server{
+		Handler:           i.counted(server.Handler()),
+		ReadHeaderTimeout: l.HeaderTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    l.MaxHeaderBytes,
+		ErrorLog:          nil,
+	}
+}
+
+func (i *Instance) operatorServer() *http.Server {
+	server := &operator.Server{
+		Secret:  i.Settings.OperatorSecret,
+		Backend: (*operatorBackend)(i),
+		Metrics: i.metricsHandler(),
+	}
+	return &http.Server{
+		Handler:           server.Handler(),
+		ReadHeaderTimeout: i.Settings.Limits.HeaderTimeout,
+		MaxHeaderBytes:    i.Settings.Limits.MaxHeaderBytes,
+	}
+}
+
+func (i *Instance) peerServer() *http.Server {
+	return peer.NewServer(peer.Handler(i.Settings.PeerSecret.Reveal(), peer.Services{
+		Home:    &homes.Server{Home: i.home, Stamp: i.stamp, Seen: i.seen},
+		Entry:   &reserve.Server{Client: i.reserver},
+		Member:  i.members,
+		Control: (*controlServer)(i),
+	}))
+}
+
+// watch applies changes of members and manifest until ctx ends.
+func (i *Instance) watch(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-i.members.Changed():
+		case <-i.manifests.Changed():
+			i.takeManifest()
+		}
+		i.reconfigure()
+	}
+}
+
+func newRandom(seed id.Incarnation) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(seed), 0))
+}
+
+func selfRecord(i *Instance) member.Record {
+	return member.Record{
+		Instance:      i.Settings.Instance,
+		Incarnation:   i.incarnation,
+		State:         member.Alive,
+		FailureDomain: i.Settings.FailureDomain,
+		Region:        i.Settings.Region,
+		CallerAddress: advertised(i.Settings.AdvertisedCallerAddress, i.CallerAddr()),
+		PeerAddress:   advertised(i.Settings.AdvertisedPeerAddress, i.PeerAddr()),
+	}
+}
+
+func advertised(set, listening string) string {
+	if set != "" {
+		return set
+	}
+	return listening
+}
--- /dev/null
+++ b/instance/operators.go
@@ -0,0 +1,118 @@
+package instance
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"samphirehead/coordination/member"
+	wire "samphirehead/protocol/peer"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/transport/operator"
+)
+
+const statusTimeout = time.Second
+
+// operatorBackend is the instance as its operators' server sees it.
+type operatorBackend Instance
+
+var _ operator.Backend = (*operatorBackend)(nil)
+
+// Status asks every member, all at the same time.
+func (b *operatorBackend) Status(ctx context.Context) ([]operator.InstanceStatus, error) {
+	i := (*Instance)(b)
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	records := i.members.Records()
+	answers := make(chan operator.InstanceStatus, len(records))
+	for _, r := range records {
+		go func() { answers <- i.statusOf(ctx, r) }()
+	}
+	out := make([]operator.InstanceStatus, 0, len(records))
+	for range records {
+		out = append(out, <-answers)
+	}
+	slices.SortFunc(out, func(a, b operator.InstanceStatus) int {
+		return strings.Compare(string(a.Instance), string(b.Instance))
+	})
+	return out, nil
+}
+
+func (i *Instance) statusOf(ctx context.Context, r member.Record) operator.InstanceStatus {
+	status := operator.InstanceStatus{
+		Instance:        r.Instance,
+		FailureDomain:   r.FailureDomain,
+		State:           stateOf(r),
+		ManifestVersion: r.Manifest,
+	}
+	if r.State == member.Dead {
+		return status
+	}
+	answer, err := i.control(r).Status(ctx, &wire.StatusRequest{Stamp: i.stamp()})
+	if err != nil {
+		status.State = operator.StateUnreachable
+		return status
+	}
+	status.ManifestVersion = id.ManifestVersion(answer.GetStamp().GetManifestVersion())
+	status.InFlight = int(answer.InFlight)
+	if answer.ManifestTakenUnixUs > 0 {
+		status.ManifestTakenAt = time.UnixMicro(answer.ManifestTakenUnixUs)
+	}
+	for _, q := range answer.Queued {
+		status.Queued = append(status.Queued, operator.ClassQueue{Class: id.Class(q.Class), Requests: int(q.Requests)})
+	}
+	return status
+}
+
+// control returns the controls of a member, without the network for this one.
+func (i *Instance) control(r member.Record) wire.Control {
+	if r.Instance == i.Settings.Instance {
+		return (*controlServer)(i)
+	}
+	return i.clients.Control(r.PeerAddress)
+}
+
+func stateOf(r member.Record) operator.InstanceState {
+	switch {
+	case r.State == member.Dead:
+		return operator.StateUnreachable
+	case r.State == member.Leaving:
+		return operator.StateLeaving
+	case r.State == member.Suspect:
+		return operator.StateSuspected
+	case r.Manifest == 0:
+		return operator.StateStarting
+	default:
+		return operator.StateLive
+	}
+}
+
+// Drain tells a member to leave.
+func (b *operatorBackend) Drain(ctx context.Context, instance id.Instance) error {
+	i := (*Instance)(b)
+	for _, r := range i.members.Records() {
+		if r.Instance != instance || r.State == member.Dead {
+			continue
+		}
+		_, err := i.control(r).Drain(ctx, &wire.DrainRequest{Stamp: i.stamp()})
+		return fault.At("drain", string(instance), err)
+	}
+	return operator.ErrUnknownInstance
+}
+
+// metricsHandler serves the metrics of this instance beside those of the
+// process.
+func (i *Instance) metricsHandler() http.Handler {
+	vars := new(expvar.Map).Init()
+	vars.Set("samphirehead", i.registry.Var())
+	expvar.Do(func(kv expvar.KeyValue) { vars.Set(kv.Key, kv.Value) })
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		// A failed write means that the operator is gone.
+		_, _ = w.Write([]byte(vars.String()))
+	})
+}
--- /dev/null
+++ b/instance/peers.go
@@ -0,0 +1,204 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/member"
+	"samphirehead/coordination/suspect"
+	"samphirehead/instance/members"
+	wire "samphirehead/protocol/peer"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/transport/peer"
+	"samphirehead/transport/platform"
+)
+
+const preemptTimeout = time.Second
+
+// stamp says who speaks and which manifest is in force here.
+func (i *Instance) stamp() *wire.Stamp {
+	return &wire.Stamp{
+		Instance:        string(i.Settings.Instance),
+		Incarnation:     uint64(i.incarnation),
+		ManifestVersion: uint64(i.version()),
+	}
+}
+
+// seen takes in the stamp of a peer's message.
+func (i *Instance) seen(s *wire.Stamp) {
+	if s == nil {
+		return
+	}
+	i.manifests.Seen(id.ManifestVersion(s.ManifestVersion), id.Instance(s.Instance))
+}
+
+func (i *Instance) version() id.ManifestVersion {
+	current := i.index.Load()
+	if current == nil {
+		return 0
+	}
+	return current.version
+}
+
+func (i *Instance) buildMembers() {
+	i.members = &members.Members{
+		Machine:     &member.Machine{Self: selfRecord(i), Random: newRandom(i.incarnation)},
+		Remote:      i.clients.Member,
+		Evidence:    peer.EvidenceOf,
+		List:        i.listMembers,
+		Stamp:       i.stamp,
+		Seen:        i.seen,
+		Summary:     i.summary,
+		HearSummary: func(s *wire.Summary) { i.reserver.Hear(s) },
+		HearCrash:   i.hearCrash,
+		Manifest:    i.manifestMessage,
+	}
+}
+
+func (i *Instance) summary() *wire.Summary {
+	s := wire.SummaryFrom(i.home.Summary())
+	s.Instance = string(i.Settings.Instance)
+	s.Incarnation = uint64(i.incarnation)
+	return s
+}
+
+// listMembers reads the platform's list, and adds the peers of the settings.
+func (i *Instance) listMembers(ctx context.Context) ([]member.Record, error) {
+	listed, _, err := i.platform.Instances(ctx)
+	records := make([]member.Record, 0, len(listed)+len(i.Settings.Peers))
+	for _, l := range listed {
+		if l.State == platform.InstanceLeaving {
+			continue
+		}
+		records = append(records, member.Record{
+			Instance:      l.Instance,
+			State:         member.Alive,
+			FailureDomain: l.FailureDomain,
+			Region:        l.Region,
+			CallerAddress: l.CallerAddress,
+			PeerAddress:   l.PeerAddress,
+		})
+	}
+	for _, p := range i.Settings.Peers {
+		records = append(records, member.Record{
+			Instance:      p.Instance,
+			State:         member.Alive,
+			FailureDomain: p.FailureDomain,
+			PeerAddress:   p.PeerAddress,
+		})
+	}
+	if len(records) > 0 {
+		return records, nil
+	}
+	return nil, err
+}
+
+// preempt asks a holder to end reservations early, without waiting for it.
+func (i *Instance) preempt(holder id.Instance, reservations []id.Reservation) {
+	if holder == i.Settings.Instance {
+		i.reserver.Preempt(reservations)
+		return
+	}
+	names := make([]string, len(reservations))
+	for n, r := range reservations {
+		names[n] = string(r)
+	}
+	i.background(func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, preemptTimeout)
+		defer cancel()
+		record, known := i.members.Lookup(holder)
+		if !known {
+			return nil
+		}
+		_, err := i.clients.Entry(record.PeerAddress).Preempt(ctx, &wire.PreemptRequest{Stamp: i.stamp(), Reservations: names})
+		return fault.At("preempt", string(holder), err)
+	})
+}
+
+// crashed spreads that an upstream broke under a request.
+func (i *Instance) crashed(u id.Upstream, request id.Request, f id.Fingerprint) {
+	c := member.Crash{Fingerprint: f, Upstream: u, Request: request, At: time.Now()}
+	i.hearCrash(c)
+	i.members.ReportCrash(c)
+}
+
+// hearCrash takes a crash report into the suspects of the home.
+func (i *Instance) hearCrash(c member.Crash) {
+	i.home.Hear(suspect.Heard{Records: []suspect.Record{{
+		Fingerprint: c.Fingerprint,
+		Upstream:    c.Upstream,
+		Request:     c.Request,
+		At:          c.At,
+	}}})
+}
+
+// controlServer lets other instances serve operators on behalf of this one.
+type controlServer Instance
+
+var _ wire.Control = (*controlServer)(nil)
+
+// Drain makes this instance leave.
+func (c *controlServer) Drain(_ context.Context, r *wire.DrainRequest) (*wire.DrainResponse, error) {
+	i := (*Instance)(c)
+	i.seen(r.Stamp)
+	i.Drain()
+	return &wire.DrainResponse{Stamp: i.stamp()}, nil
+}
+
+// Status says what this instance is doing.
+func (c *controlServer) Status(_ context.Context, r *wire.StatusRequest) (*wire.StatusResponse, error) {
+	i := (*Instance)(c)
+	i.seen(r.Stamp)
+	out := &wire.StatusResponse{Stamp: i.stamp(), InFlight: i.inFlight.Load()}
+	if current := i.index.Load(); current != nil {
+		out.ManifestTakenUnixUs = current.taken.UnixMicro()
+	}
+	for class, n := range i.home.Queued() {
+		out.Queued = append(out.Queued, &wire.QueuedClass{Class: string(class), Requests: int64(n)})
+	}
+	return out, nil
+}
+
+// background runs a short call that nothing waits for; its context ends with
+// the instance.
+func (i *Instance) background(call func(context.Context) error) {
+	select {
+	case i.calls <- call:
+	default:
+		klog.V(1).InfoS("too many calls in the background; one dropped")
+	}
+}
+
+// runBackground runs the calls in the background until ctx ends, a bounded
+// number at a time.
+func (i *Instance) runBackground(ctx context.Context) error {
+	done := make(chan error)
+	running := 0
+	for {
+		incoming := i.calls
+		if running >= maxBackground {
+			incoming = nil
+		}
+		select {
+		case <-ctx.Done():
+			var failed error
+			for range running {
+				failed = errors.CombineErrors(failed, <-done)
+			}
+			klog.V(1).InfoS("calls in the background ended", "err", failed)
+			return nil
+		case err := <-done:
+			running--
+			if err != nil {
+				klog.V(1).InfoS("call in the background failed", "err", err)
+			}
+		case call := <-incoming:
+			running++
+			go func() { done <- call(ctx) }()
+		}
+	}
+}
--- /dev/null
+++ b/instance/reconfigure.go
@@ -0,0 +1,88 @@
+package instance
+
+import (
+	"samphirehead/coordination/home"
+	"samphirehead/coordination/member"
+	"samphirehead/coordination/queue"
+	"samphirehead/instance/reserve"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+// reconfigure places the upstreams of the manifest in force over the members
+// of the moment.
+func (i *Instance) reconfigure() {
+	index := i.Index()
+	if index == nil {
+		return
+	}
+	i.members.Update(i.version(), i.headroom())
+	records := i.members.Records()
+	placement := home.Place(homeUpstreams(index), records)
+	i.home.Configure(index.Manifest.Classes, i.owned(index, placement))
+	i.reserver.Update(&reserve.View{
+		Placement: placement.Narrow(i.Settings.Instance, i.Settings.FailureDomain, home.DefaultSubset),
+		Index:     index,
+		Addresses: peerAddresses(records),
+	})
+	i.loseHolders(records)
+}
+
+// headroom is the free share of the requests that the instance may carry.
+func (i *Instance) headroom() float64 {
+	most := float64(i.Settings.Limits.MaxConcurrentRequests)
+	return max(0, 1-float64(i.inFlight.Load())/most)
+}
+
+func homeUpstreams(x *manifest.Index) []home.Upstream {
+	out := make([]home.Upstream, len(x.Manifest.Upstreams))
+	for n, u := range x.Manifest.Upstreams {
+		out[n] = home.Upstream{
+			Name:          u.Name,
+			FailureDomain: u.FailureDomain,
+			Pools:         u.Pools(),
+			Slots:         u.Capacity.Slots,
+		}
+	}
+	return out
+}
+
+// owned lists the upstreams whose home is this instance.
+func (i *Instance) owned(x *manifest.Index, p home.Placement) []queue.Upstream {
+	var out []queue.Upstream
+	for _, u := range x.Manifest.Upstreams {
+		if p.Owners[u.Name] != i.Settings.Instance {
+			continue
+		}
+		out = append(out, queue.Upstream{
+			Name:          u.Name,
+			Pools:         u.Pools(),
+			FailureDomain: u.FailureDomain,
+			Capacity:      u.Capacity,
+			Resumes:       u.Resumes,
+		})
+	}
+	return out
+}
+
+func peerAddresses(records []member.Record) map[id.Instance]string {
+	out := make(map[id.Instance]string, len(records))
+	for _, r := range records {
+		if r.State != member.Dead && r.PeerAddress != "" {
+			out[r.Instance] = r.PeerAddress
+		}
+	}
+	return out
+}
+
+// loseHolders frees at this home what instances held that have died since the
+// last call.
+func (i *Instance) loseHolders(records []member.Record) {
+	for _, r := range records {
+		dead := r.State == member.Dead
+		if dead && !i.dead[r.Instance] {
+			i.home.LoseHolder(r.Instance)
+		}
+		i.dead[r.Instance] = dead
+	}
+}
--- a/protocol/answer/answer.go
+++ b/protocol/answer/answer.go
@@ -108,11 +108,9 @@
 	sent bool
 }
 
-// Sending must be called before the first byte is written to an upstream.
-func (p *Progress) Sending() { p.sent = true }
-
-// Sent reports whether Sending was called.
-func (p *Progress) Sent() bool { return p.sent }
+// MayHaveSent must be called after each attempt, unless it is certain that the
+// attempt sent no byte to an upstream.
+func (p *Progress) MayHaveSent() { p.sent = true }
 
 // End ends the request with f: as NotRun if nothing was sent, else as Unknown.
 func (p *Progress) End(f Failure) Result {
--- a/transport/caller/chat.go
+++ b/transport/caller/chat.go
@@ -64,7 +64,7 @@
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *answer.Failure) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(readTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(s.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
@@ -112,7 +112,7 @@
 		return
 	}
 	s.setHeaders(w, answer.OutcomeCompleted)
-	extendWriteDeadline(w)
+	s.extendWriteDeadline(w)
 	writeJSON(w, http.StatusOK, sink.completion(g))
 }
 
@@ -183,7 +183,7 @@
 		k.buf = append(append(append(k.buf, "event: "...), event...), '\n')
 	}
 	k.buf = append(append(append(k.buf, "data: "...), data...), "\n\n"...)
-	extendWriteDeadline(k.w)
+	k.server.extendWriteDeadline(k.w)
 	if _, err := k.w.Write(k.buf); err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -22,11 +22,6 @@
 	HeaderIdempotencyKey  = "Idempotency-Key"
 )
 
-const (
-	readTimeout  = 15 * time.Second
-	writeTimeout = 15 * time.Second
-)
-
 // Generation is a checked request for a chat completion.
 type Generation struct {
 	Request   id.Request
@@ -94,6 +89,10 @@
 	MaxBodyBytes int64
 	// MaxConcurrent bounds requests in progress.
 	MaxConcurrent int
+	// BodyTimeout bounds the reading of a request's body.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds one write to a caller that reads slowly.
+	WriteTimeout time.Duration
 
 	slots chan struct{}
 }
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -61,7 +61,7 @@
 		}
 	}
 	s.setHeaders(w, answer.OutcomeCompleted)
-	extendWriteDeadline(w)
+	s.extendWriteDeadline(w)
 	w.WriteHeader(out.Status)
 	// A failed write means that the caller is gone; the outcome is kept.
 	_, _ = w.Write(out.Body)
--- a/transport/caller/write.go
+++ b/transport/caller/write.go
@@ -85,6 +85,6 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func extendWriteDeadline(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+func (s *Server) extendWriteDeadline(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.WriteTimeout))
 }
