--- a/coordination/queue/faults_test.go
+++ b/coordination/queue/faults_test.go
@@ -45,6 +45,8 @@
 		a.FirstTokenBy = start.Add(100 * time.Millisecond)
 		return a
 	}
+	both := engine("e0", 1)
+	both.Pools = append(both.Pools, "model:z")
 	tests := map[string][]step{
 		"a repeated arrival is answered again": {
 			{0, one(engine("e0", 1)), nil},
@@ -156,6 +158,13 @@
 			{0, soon(request(4, "quick", "w")), nil},
 			{60 * time.Millisecond, queue.Ticked{}, nil},
 		},
+		"pools that share an upstream keep the order of tiers": {
+			{0, one(both), nil},
+			{0, request(1, "quick", "w"), []queue.Effect{grant("r1", "e0")}},
+			{0, request(2, "dossier", "w"), nil},
+			{0, with(request(3, "quick", "w"), func(a *queue.Arrived) { a.Pool = "model:z" }), nil},
+			{0, released("r1", 9), []queue.Effect{grant("r3", "e0")}},
+		},
 		"foreign work in a report takes slots until it is gone": {
 			{0, one(engine("e0", 2)), nil},
 			{0, request(1, "quick", "w"), []queue.Effect{grant("r1", "e0")}},
