--- /dev/null
+++ b/instance/atmostonce/calls.go
@@ -0,0 +1,237 @@
+// Package atmostonce drives the claims of at-most-once calls: it carries out
+// what the state machines of package claim decide.
+package atmostonce
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/claim"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/record"
+)
+
+const (
+	// opTimeout bounds each read and write of a claim that names no
+	// earlier time.
+	opTimeout = time.Second
+	// DefaultLateFor is how long an answer is awaited after the caller's
+	// deadline, to be recorded.
+	DefaultLateFor = 30 * time.Second
+)
+
+// Table is what claims need of the platform's table service.
+type Table interface {
+	Write(ctx context.Context, writes []record.Write) record.WriteResult
+	Read(ctx context.Context, keys []record.Key) ([]record.Row, error)
+}
+
+// Call is one request on an at-most-once route.
+type Call struct {
+	// Key is made by claim.NewKey.
+	Key record.Key
+	// Digest is of all that makes up the call apart from its key.
+	Digest string
+	// Deadline is when the caller must have its outcome.
+	Deadline time.Time
+	// Repeat says that the caller may have sent the key before.
+	Repeat bool
+	// Send sends the call with the permit, once, and returns what it knows.
+	// Its context ends some time after the deadline and outlives the
+	// caller, so that a late answer is recorded.
+	Send func(ctx context.Context, permit *claim.Permit) claim.Evidence
+}
+
+// Calls runs at-most-once calls. Set the exported fields before the first Do.
+type Calls struct {
+	Table    Table
+	Instance id.Instance
+	// LateFor is how long an answer is awaited after the caller's deadline;
+	// 0 means DefaultLateFor.
+	LateFor time.Duration
+
+	open sync.WaitGroup
+}
+
+// Do runs call and returns its outcome by its deadline or soon after. Work on
+// the record may go on after it returns; Wait waits for that. The end of ctx
+// says that the caller has left.
+func (c *Calls) Do(ctx context.Context, call Call) claim.Outcome {
+	run := &run{
+		calls: c,
+		call:  call,
+		machine: &claim.Call{
+			Key:      call.Key,
+			Attempt:  id.Attempt(uuid.NewString()),
+			Instance: c.Instance,
+			Digest:   call.Digest,
+			Deadline: call.Deadline,
+			Repeat:   call.Repeat,
+		},
+		caller:  ctx,
+		work:    context.WithoutCancel(ctx),
+		events:  make(chan claim.Event, maxOpen),
+		outcome: make(chan claim.Outcome, 1),
+	}
+	c.open.Go(run.loop)
+	return <-run.outcome
+}
+
+// Wait returns when the records of all calls are written or given up, or when
+// ctx ends.
+func (c *Calls) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		c.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fault.At("wait for call records", "", ctx.Err())
+	}
+}
+
+// Find returns what the table holds of an earlier call.
+func (c *Calls) Find(ctx context.Context, key record.Key) (claim.Finding, error) {
+	rows, err := c.Table.Read(ctx, []record.Key{key})
+	if err != nil {
+		return nil, fault.At("find outcome", "", err)
+	}
+	return claim.Find(time.Now(), rows)
+}
+
+func (c *Calls) lateFor() time.Duration {
+	if c.LateFor == 0 {
+		return DefaultLateFor
+	}
+	return c.LateFor
+}
+
+// maxOpen bounds the events under way: one table operation and one send.
+const maxOpen = 2
+
+// run carries out one call.
+type run struct {
+	calls   *Calls
+	call    Call
+	machine *claim.Call
+	// caller ends when the caller leaves; work does not.
+	caller context.Context
+	work   context.Context
+	// events has room for every operation that can be open, so that none
+	// of them blocks.
+	events  chan claim.Event
+	outcome chan claim.Outcome
+	wakes   []time.Time
+	ended   bool
+}
+
+func (r *run) loop() {
+	left := r.caller.Done()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	r.step(claim.Started{})
+	for !r.ended {
+		timer.Reset(r.untilWake(time.Now()))
+		select {
+		case ev := <-r.events:
+			r.step(ev)
+		case <-timer.C:
+			r.dropWakes(time.Now())
+			r.step(claim.Ticked{})
+		case <-left:
+			left = nil
+			r.step(claim.CallerLeft{})
+		}
+	}
+}
+
+func (r *run) step(ev claim.Event) {
+	for _, effect := range r.machine.Step(time.Now(), ev) {
+		r.carryOut(effect)
+	}
+}
+
+func (r *run) carryOut(effect claim.Effect) {
+	switch e := effect.(type) {
+	case claim.WriteRow:
+		go r.write(e)
+	case claim.ReadRow:
+		go r.read(e)
+	case claim.SendCall:
+		go r.send(e)
+	case claim.Tell:
+		r.outcome <- e.Outcome
+	case claim.WakeAt:
+		r.wakes = append(r.wakes, e.Time)
+	case claim.Finished:
+		r.ended = true
+	}
+}
+
+func (r *run) write(e claim.WriteRow) {
+	ctx, cancel := r.until(e.By)
+	defer cancel()
+	result := r.calls.Table.Write(ctx, []record.Write{e.Write})
+	switch result := result.(type) {
+	case record.Refused:
+		klog.V(1).InfoS("claim write refused", "key", e.Write.Key, "err", result.Err)
+	case record.Unknown:
+		klog.V(1).InfoS("claim write without answer", "key", e.Write.Key, "err", result.Err)
+	}
+	r.events <- claim.WriteAnswered{Result: result}
+}
+
+func (r *run) read(e claim.ReadRow) {
+	ctx, cancel := r.until(e.By)
+	defer cancel()
+	rows, err := r.calls.Table.Read(ctx, []record.Key{e.Key})
+	if err != nil {
+		r.events <- claim.RowRead{Err: err}
+		return
+	}
+	row := record.Row{Key: e.Key}
+	if len(rows) > 0 {
+		row = rows[0]
+	}
+	r.events <- claim.RowRead{Row: row}
+}
+
+func (r *run) send(e claim.SendCall) {
+	ctx, cancel := context.WithDeadline(r.work, r.call.Deadline.Add(r.calls.lateFor()))
+	defer cancel()
+	r.events <- claim.CallEnded{Evidence: r.call.Send(ctx, e.Permit)}
+}
+
+func (r *run) until(by time.Time) (context.Context, context.CancelFunc) {
+	most := time.Now().Add(opTimeout)
+	if by.IsZero() || by.After(most) {
+		by = most
+	}
+	return context.WithDeadline(r.work, by)
+}
+
+func (r *run) untilWake(now time.Time) time.Duration {
+	wait := time.Hour
+	for _, w := range r.wakes {
+		wait = min(wait, max(0, w.Sub(now)))
+	}
+	return wait
+}
+
+func (r *run) dropWakes(now time.Time) {
+	kept := r.wakes[:0]
+	for _, w := range r.wakes {
+		if w.After(now) {
+			kept = append(kept, w)
+		}
+	}
+	r.wakes = kept
+}
--- /dev/null
+++ b/instance/atmostonce/calls_test.go
@@ -0,0 +1,238 @@
+package atmostonce_test
+
+import (
+	"context"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"samphirehead/coordination/claim"
+	"samphirehead/instance/atmostonce"
+	"samphirehead/state/record"
+)
+
+// memory is a table service with faults.
+type memory struct {
+	mu   sync.Mutex
+	rows map[record.Key]record.Row
+	// down refuses all calls; mute applies writes and loses the answer;
+	// hung keeps every call until its context ends.
+	down, hung bool
+	mute       int
+}
+
+func newMemory() *memory { return &memory{rows: map[record.Key]record.Row{}} }
+
+func (m *memory) set(change func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change()
+}
+
+func (m *memory) fault(ctx context.Context) (down bool, err error) {
+	m.mu.Lock()
+	down, hung := m.down, m.hung
+	m.mu.Unlock()
+	if hung {
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
+	return down, nil
+}
+
+func (m *memory) Write(ctx context.Context, writes []record.Write) record.WriteResult {
+	down, err := m.fault(ctx)
+	if err != nil {
+		return record.Unknown{Err: err}
+	}
+	if down {
+		return record.Refused{Err: os.ErrClosed}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := writes[0]
+	row := m.rows[w.Key]
+	if row.Version != w.Expected {
+		row.Key = w.Key
+		return record.Conflicted{Rows: []record.Row{row}}
+	}
+	m.rows[w.Key] = record.Row{Key: w.Key, Version: row.Version + 1, Value: w.Value}
+	if m.mute > 0 {
+		m.mute--
+		return record.Unknown{Err: os.ErrDeadlineExceeded}
+	}
+	return record.Written{Versions: []record.Version{row.Version + 1}}
+}
+
+func (m *memory) Read(ctx context.Context, keys []record.Key) ([]record.Row, error) {
+	down, err := m.fault(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if down {
+		return nil, os.ErrClosed
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if row, ok := m.rows[keys[0]]; ok {
+		return []record.Row{row}, nil
+	}
+	return nil, nil
+}
+
+// service answers after a delay and counts its runs.
+type service struct {
+	runs  atomic.Int32
+	delay time.Duration
+}
+
+func (s *service) send(context.Context, *claim.Permit) claim.Evidence {
+	s.runs.Add(1)
+	time.Sleep(s.delay)
+	return claim.Answered{Answer: claim.Answer{Status: 201, Body: []byte("slot 7")}}
+}
+
+func callOf(s *service, deadline time.Duration) atmostonce.Call {
+	return atmostonce.Call{Key: "claims/k", Digest: "d", Deadline: time.Now().Add(deadline), Send: s.send}
+}
+
+func kindOf(o claim.Outcome) string {
+	switch o := o.(type) {
+	case claim.Completed:
+		return "completed"
+	case claim.NotRun:
+		return "not_run " + string(o.Reason())
+	}
+	return "unknown"
+}
+
+func TestOneCallUnderFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		before   func(*memory)
+		evidence claim.Evidence
+		want     string
+		within   time.Duration
+		later    string
+	}{
+		{"all well", nil, nil, "completed", 0, "completed"},
+		{"store down", func(m *memory) { m.down = true }, nil, "not_run store_unavailable", 0, "completed"},
+		{"store hangs", func(m *memory) { m.hung = true }, nil, "not_run store_unavailable", time.Second, "completed"},
+		{"claim's answer lost", func(m *memory) { m.mute = 1 }, nil, "completed", 0, "completed"},
+		{"claim's and mark's answers lost", func(m *memory) { m.mute = 2 }, nil, "completed", 0, "completed"},
+		{"nothing sent", nil, claim.NothingSent{}, "not_run upstream_unavailable", 0, "completed"},
+		{"answer of the service lost", nil, claim.MayHaveSent{}, "unknown", 0, "unknown"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, s := newMemory(), &service{}
+				if tc.before != nil {
+					tc.before(m)
+				}
+				calls := &atmostonce.Calls{Table: m}
+				call := callOf(s, 10*time.Second)
+				if tc.evidence != nil {
+					call.Send = func(context.Context, *claim.Permit) claim.Evidence { return tc.evidence }
+				}
+				start := time.Now()
+				if got := kindOf(calls.Do(t.Context(), call)); got != tc.want {
+					t.Fatalf("got %s, want %s", got, tc.want)
+				}
+				if took := time.Since(start); took > tc.within {
+					t.Errorf("took %v of fake time, want at most %v", took, tc.within)
+				}
+				m.set(func() { m.down, m.hung = false, false })
+				if got := kindOf(calls.Do(t.Context(), callOf(s, 10*time.Second))); got != tc.later {
+					t.Errorf("repeat: got %s, want %s", got, tc.later)
+				}
+				if err := calls.Wait(t.Context()); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+func TestDuplicatesOnFourInstancesRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, s := newMemory(), &service{delay: 300 * time.Millisecond}
+		outcomes := make(chan claim.Outcome)
+		for range 4 {
+			calls := &atmostonce.Calls{Table: m}
+			go func() { outcomes <- calls.Do(t.Context(), callOf(s, 10*time.Second)) }()
+		}
+		replayed := 0
+		for range 4 {
+			o, ok := (<-outcomes).(claim.Completed)
+			if !ok || string(o.Answer.Body) != "slot 7" {
+				t.Fatalf("got %+v", o)
+			}
+			if o.Replayed {
+				replayed++
+			}
+		}
+		if s.runs.Load() != 1 || replayed != 3 {
+			t.Fatalf("%d runs, %d replays", s.runs.Load(), replayed)
+		}
+	})
+}
+
+func TestLateAnswerIsFoundLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, s := newMemory(), &service{delay: 5 * time.Second}
+		calls := &atmostonce.Calls{Table: m}
+		start := time.Now()
+		if got := kindOf(calls.Do(t.Context(), callOf(s, time.Second))); got != "unknown" || time.Since(start) != time.Second {
+			t.Fatalf("got %s after %v", got, time.Since(start))
+		}
+		time.Sleep(10 * time.Second)
+		found, err := calls.Find(t.Context(), "claims/k")
+		known, ok := found.(claim.Known)
+		if err != nil || !ok || kindOf(known.Outcome) != "completed" {
+			t.Fatalf("found %+v, %v", found, err)
+		}
+	})
+}
+
+func TestOutcomeIsRecordedAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, s := newMemory(), &service{}
+		calls := &atmostonce.Calls{Table: m}
+		call := callOf(s, 10*time.Second)
+		call.Send = func(ctx context.Context, p *claim.Permit) claim.Evidence {
+			m.set(func() { m.down = true })
+			return s.send(ctx, p)
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		if got := kindOf(calls.Do(ctx, call)); got != "completed" {
+			t.Fatalf("got %s", got)
+		}
+		leave()
+		time.Sleep(time.Minute)
+		m.set(func() { m.down = false })
+		if err := calls.Wait(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		o, ok := calls.Do(t.Context(), callOf(s, 10*time.Second)).(claim.Completed)
+		if !ok || !o.Replayed || s.runs.Load() != 1 {
+			t.Fatalf("got %+v after %d runs", o, s.runs.Load())
+		}
+	})
+}
+
+func TestCallerThatLeavesDoesNotCutTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, s := newMemory(), &service{delay: time.Second}
+		calls := &atmostonce.Calls{Table: m}
+		ctx, leave := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer leave()
+		calls.Do(ctx, callOf(s, 10*time.Second))
+		if got := kindOf(calls.Do(t.Context(), callOf(s, 10*time.Second))); got != "completed" || s.runs.Load() != 1 {
+			t.Fatalf("got %s after %d runs", got, s.runs.Load())
+		}
+	})
+}
