--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -47,7 +47,7 @@
 	var result answer.Result
 	var out caller.ServiceAnswer
 	if c.route.Semantics == manifest.AtMostOnce {
-		result, out = c.runOnce(ctx)
+		result = c.runOnce()
 	} else {
 		result, out = c.runRepeatable(ctx)
 	}
@@ -200,9 +200,9 @@
 }
 
 // runOnce runs a call at most once.
-func (c *serviceCall) runOnce(context.Context) (answer.Result, caller.ServiceAnswer) {
+func (c *serviceCall) runOnce() answer.Result {
 	var progress answer.Progress
-	return progress.End(answer.Failure{Reason: answer.ReasonPlatformDown, Message: "calls that run at most once are not served"}), caller.ServiceAnswer{}
+	return progress.End(answer.Failure{Reason: answer.ReasonPlatformDown, Message: "calls that run at most once are not served"})
 }
 
 // Outcome tells again how an at-most-once call ended.
