limit: hold workspaces' rates across the instances together

The limit home of a workspace lends its rate in blocks of half a second's demand; entries admit against them, bridge a loan with their equal share, which is charged afterwards, and fall back to that share while the home cannot be reached.

--- /dev/null
+++ b/coordination/limit/lender.go
@@ -0,0 +1,105 @@
+package limit
+
+import (
+	"time"
+
+	"samphirehead/state/id"
+)
+
+// Lender lends the rates of the workspaces whose limit home is this instance.
+// It is not safe for concurrent use.
+type Lender struct {
+	rates   map[id.Workspace]Amount
+	buckets map[id.Workspace]*bucket
+}
+
+// LenderEvent is one input of a Lender.
+type LenderEvent interface{ lenderEvent() }
+
+// RatesSet replaces all rates.
+type RatesSet struct{ Rates map[id.Workspace]Amount }
+
+// Asked asks for credits.
+type Asked struct {
+	Workspace id.Workspace
+	Want      Amount
+	// Spent was used beyond earlier credits and is charged first.
+	Spent Amount
+}
+
+// Ticked passes time; a second apart will do.
+type Ticked struct{}
+
+func (RatesSet) lenderEvent() {}
+func (Asked) lenderEvent()    {}
+func (Ticked) lenderEvent()   {}
+
+// LenderEffect is one output of a Lender.
+type LenderEffect interface{ lenderEffect() }
+
+// Granted answers Asked.
+type Granted struct {
+	Workspace id.Workspace
+	// Amount may be used for Valid.
+	Amount Amount
+	// RetryAfter is set when nothing is lent.
+	RetryAfter time.Duration
+}
+
+func (Granted) lenderEffect() {}
+
+// forgetIdle is how long an unused bucket is kept. A forgotten one starts
+// empty, so nothing is lent twice.
+const forgetIdle = time.Minute
+
+// Step applies ev at now and returns the effects to carry out, in order.
+func (l *Lender) Step(now time.Time, ev LenderEvent) []LenderEffect {
+	switch ev := ev.(type) {
+	case RatesSet:
+		l.rates = ev.Rates
+	case Asked:
+		return []LenderEffect{l.lend(now, ev)}
+	case Ticked:
+		l.forget(now)
+	}
+	return nil
+}
+
+// Buckets returns the number of workspaces in memory.
+func (l *Lender) Buckets() int { return len(l.buckets) }
+
+// lend gives at most half of what there is, so that one borrower leaves
+// something to the others.
+func (l *Lender) lend(now time.Time, ev Asked) Granted {
+	rate := l.rates[ev.Workspace]
+	b := l.bucket(ev.Workspace)
+	b.refill(now, rate, burst(rate))
+	b.level = b.level.sub(ev.Spent)
+	if !b.level.covers(rate) {
+		return Granted{Workspace: ev.Workspace, RetryAfter: max(untilPositive(b.level, rate), loanGap)}
+	}
+	part := b.level.times(0.5).atLeast(Amount{Requests: 1, Tokens: 1}).atMost(b.level)
+	lent := ev.Want.atMost(part).atLeast(Amount{})
+	b.level = b.level.sub(lent)
+	return Granted{Workspace: ev.Workspace, Amount: lent}
+}
+
+func (l *Lender) bucket(workspace id.Workspace) *bucket {
+	if b, ok := l.buckets[workspace]; ok {
+		return b
+	}
+	if l.buckets == nil {
+		l.buckets = map[id.Workspace]*bucket{}
+	}
+	b := &bucket{}
+	l.buckets[workspace] = b
+	return b
+}
+
+func (l *Lender) forget(now time.Time) {
+	for workspace, b := range l.buckets {
+		if now.Sub(b.at) >= forgetIdle {
+			delete(l.buckets, workspace)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/limit/limit.go
@@ -0,0 +1,112 @@
+// Package limit holds the rate limits of workspaces across all instances. A
+// lender, at the limit home of a workspace, lends its rate in small blocks;
+// borrowers, at the entries, admit requests against them.
+package limit
+
+import (
+	"time"
+
+	"samphirehead/coordination/home"
+	"samphirehead/coordination/member"
+	"samphirehead/state/id"
+)
+
+const (
+	// Burst is the time whose rate may be used at once.
+	Burst = time.Second
+	// Valid is how long lent credits may be used.
+	Valid = 2 * time.Second
+	// loanGap is the least time between two loans to a borrower that wants
+	// more than there is.
+	loanGap = 50 * time.Millisecond
+)
+
+// Amount counts requests and tokens; as a rate, for a second. A rate of 0
+// means no limit.
+type Amount struct {
+	Requests float64
+	Tokens   float64
+}
+
+// HomeOf returns the limit home of a workspace, or "" when no member can own.
+func HomeOf(workspace id.Workspace, members []member.Record) id.Instance {
+	return home.Owner(id.Upstream("workspace:"+workspace), "", members)
+}
+
+// Limited reports whether the rate limits anything.
+func (a Amount) Limited() bool { return a.Requests > 0 || a.Tokens > 0 }
+
+func (a Amount) add(b Amount) Amount {
+	return Amount{Requests: a.Requests + b.Requests, Tokens: a.Tokens + b.Tokens}
+}
+
+func (a Amount) sub(b Amount) Amount {
+	return Amount{Requests: a.Requests - b.Requests, Tokens: a.Tokens - b.Tokens}
+}
+
+func (a Amount) times(f float64) Amount {
+	return Amount{Requests: a.Requests * f, Tokens: a.Tokens * f}
+}
+
+func (a Amount) atMost(b Amount) Amount {
+	return Amount{Requests: min(a.Requests, b.Requests), Tokens: min(a.Tokens, b.Tokens)}
+}
+
+func (a Amount) atLeast(b Amount) Amount {
+	return Amount{Requests: max(a.Requests, b.Requests), Tokens: max(a.Tokens, b.Tokens)}
+}
+
+// of leaves out the kinds that rate does not limit.
+func (a Amount) of(rate Amount) Amount {
+	if rate.Requests <= 0 {
+		a.Requests = 0
+	}
+	if rate.Tokens <= 0 {
+		a.Tokens = 0
+	}
+	return a
+}
+
+// covers reports whether credit a admits one more request under rate. A
+// request may take the tokens below zero by itself, as its size is a guess;
+// what is missing is repaid from later credits.
+func (a Amount) covers(rate Amount) bool {
+	if rate.Requests > 0 && a.Requests < 1 {
+		return false
+	}
+	return rate.Tokens <= 0 || a.Tokens > 0
+}
+
+// bucket is a token bucket in both kinds.
+type bucket struct {
+	level Amount
+	at    time.Time
+}
+
+// refill adds what rate gives since the last refill, up to bound.
+func (b *bucket) refill(now time.Time, rate, bound Amount) {
+	if !b.at.IsZero() && now.After(b.at) {
+		b.level = b.level.add(rate.times(now.Sub(b.at).Seconds())).atMost(bound)
+	}
+	if b.at.IsZero() || now.After(b.at) {
+		b.at = now
+	}
+}
+
+// burst is the bound of a bucket of rate: a Burst of it, or one request.
+func burst(rate Amount) Amount {
+	return rate.times(Burst.Seconds()).atLeast(Amount{Requests: 1, Tokens: 1})
+}
+
+// untilPositive returns the time after which a bucket at level covers one
+// request again.
+func untilPositive(level, rate Amount) time.Duration {
+	var seconds float64
+	if rate.Requests > 0 {
+		seconds = max(seconds, (1-level.Requests)/rate.Requests)
+	}
+	if rate.Tokens > 0 {
+		seconds = max(seconds, -level.Tokens/rate.Tokens)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/coordination/limit/limit_test.go
@@ -0,0 +1,285 @@
+package limit_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"samphirehead/coordination/limit"
+	"samphirehead/state/id"
+)
+
+// TestMain fixes the seed of rapid unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("20261")
+	}
+	os.Exit(m.Run())
+}
+
+const latency = 2 * time.Millisecond
+
+// system is some borrowers and one lender in virtual time. Loans take a fixed
+// time and fail while down is set.
+type system struct {
+	now       time.Time
+	rate      limit.Amount
+	lender    limit.Lender
+	borrowers []*limit.Borrower
+	loans     []loan
+	down      bool
+	admitted  int
+	messages  int
+}
+
+type loan struct {
+	at       time.Time
+	borrower int
+	borrow   limit.Borrow
+}
+
+func newSystem(n int, rate limit.Amount) *system {
+	s := &system{now: time.Unix(1000, 0), rate: rate}
+	rates := map[id.Workspace]limit.Amount{"w": rate}
+	s.lender.Step(s.now, limit.RatesSet{Rates: rates})
+	for range n {
+		b := &limit.Borrower{}
+		b.Step(s.now, limit.Configured{Rates: rates, Members: n})
+		s.borrowers = append(s.borrowers, b)
+	}
+	return s
+}
+
+// request asks one borrower, and reports whether it admitted.
+func (s *system) request(borrower int, tokens float64) bool {
+	for try := range 3 {
+		admitted, wait := false, false
+		for _, effect := range s.borrowers[borrower].Step(s.now, limit.Requested{Workspace: "w", Tokens: tokens, Again: try > 0}) {
+			switch effect := effect.(type) {
+			case limit.Admitted:
+				s.admitted++
+				admitted = true
+			case limit.Borrow:
+				s.messages++
+				s.loans = append(s.loans, loan{at: s.now.Add(latency), borrower: borrower, borrow: effect})
+			case limit.Wait:
+				wait = true
+			case limit.Denied:
+			}
+		}
+		if !wait {
+			return admitted
+		}
+		s.advance(latency)
+	}
+	return false
+}
+
+func (s *system) advance(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.loans) > 0 && !s.loans[0].at.After(end) {
+		l := s.loans[0]
+		s.loans = s.loans[1:]
+		s.now = l.at
+		s.answer(l)
+	}
+	s.now = end
+}
+
+func (s *system) answer(l loan) {
+	if s.down {
+		s.borrowers[l.borrower].Step(s.now, limit.Failed{Workspace: "w"})
+		return
+	}
+	for _, effect := range s.lender.Step(s.now, limit.Asked{Workspace: "w", Want: l.borrow.Want, Spent: l.borrow.Spent}) {
+		if g, ok := effect.(limit.Granted); ok {
+			s.borrowers[l.borrower].Step(s.now, limit.Lent{Workspace: "w", Amount: g.Amount, RetryAfter: g.RetryAfter})
+		}
+	}
+}
+
+// bound is the documented bound on requests admitted from the start. While
+// loans fail, and for a second after, the shares come on top of the lender.
+func (s *system) bound(elapsed, failing time.Duration) float64 {
+	burst := max(s.rate.Requests, 1)
+	shares := float64(len(s.borrowers)) * max(s.rate.Requests/float64(len(s.borrowers)), 1)
+	return s.rate.Requests*(elapsed+failing).Seconds() + 2*burst + shares
+}
+
+// TestNeverAboveTheLimit checks the bound after every request, whatever the
+// load, with lost loans.
+func TestNeverAboveTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "borrowers")
+		s := newSystem(n, limit.Amount{Requests: float64(rapid.IntRange(1, 200).Draw(t, "rate")) / 2})
+		start := s.now
+		var failing time.Duration
+		for range rapid.IntRange(10, 60).Draw(t, "bursts") {
+			s.down = rapid.IntRange(0, 4).Draw(t, "down") == 0
+			began, before := s.now, failing
+			borrower := rapid.IntRange(0, n-1).Draw(t, "borrower")
+			for range rapid.IntRange(1, 100).Draw(t, "requests") {
+				s.request(borrower, 10)
+				if s.down {
+					failing = before + s.now.Sub(began) + time.Second
+				}
+				if bound := s.bound(s.now.Sub(start), failing); float64(s.admitted) > bound {
+					t.Fatalf("%d admitted in %s, bound %.1f", s.admitted, s.now.Sub(start), bound)
+				}
+			}
+			pause := time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			s.advance(pause)
+			if s.down {
+				failing += pause
+			}
+		}
+	})
+}
+
+// TestShareOfTheLimitReached measures what is admitted of a limit of 200
+// requests a second under three times that demand for 20 s.
+func TestShareOfTheLimitReached(t *testing.T) {
+	const rate, seconds = 200, 20
+	for _, c := range []struct {
+		name string
+		// to returns the borrower of the i-th request.
+		to          func(i int) int
+		down        bool
+		least, most float64
+	}{
+		{"even", func(i int) int { return i % 4 }, false, 0.95, 1.1},
+		{"all at one", func(int) int { return 0 }, false, 0.95, 1.1},
+		{"nine in ten at one", func(i int) int { return max(0, i%40-36) }, false, 0.95, 1.1},
+		{"home down, even", func(i int) int { return i % 4 }, true, 0.95, 1.1},
+		{"home down, all at one", func(int) int { return 0 }, true, 0.24, 0.28},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(4, limit.Amount{Requests: rate})
+			s.down = c.down
+			start := s.now
+			for i := 0; s.now.Sub(start) < seconds*time.Second; i++ {
+				s.request(c.to(i), 0)
+				s.advance(time.Second / (3 * rate))
+			}
+			got := float64(s.admitted) / (rate * seconds)
+			t.Logf("%.3f of the limit, %.1f loans a second", got, float64(s.messages)/seconds)
+			if loans := float64(s.messages) / seconds; loans > 100 {
+				t.Errorf("%.1f loans a second for 4 borrowers", loans)
+			}
+			if got < c.least || got > c.most {
+				t.Errorf("%.3f of the limit admitted, want %.2f to %.2f", got, c.least, c.most)
+			}
+		})
+	}
+}
+
+// TestTokens checks that a token limit holds when answers are longer than
+// estimated.
+func TestTokens(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("home down=%v", down), func(t *testing.T) { checkTokens(t, down) })
+	}
+}
+
+func checkTokens(t *testing.T, down bool) {
+	t.Helper()
+	const rate, seconds = 1000, 30
+	s := newSystem(4, limit.Amount{Tokens: rate})
+	s.down = down
+	start := s.now
+	used := 0.0
+	for i := 0; s.now.Sub(start) < seconds*time.Second; i++ {
+		borrower := i % 4
+		if s.request(borrower, 50) {
+			// Each answer takes three times its estimate.
+			s.borrowers[borrower].Step(s.now, limit.Settled{Workspace: "w", Tokens: 100})
+			used += 150
+		}
+		s.advance(10 * time.Millisecond)
+	}
+	got := used / (rate * seconds)
+	t.Logf("%.3f of the limit used", got)
+	if got < 0.9 || got > 1.15 {
+		t.Errorf("%.3f of the token limit used", got)
+	}
+}
+
+// TestRefusalSaysWhen checks that a denied caller that waits as told is
+// admitted, and one that asks before is not.
+func TestRefusalSaysWhen(t *testing.T) {
+	s := newSystem(1, limit.Amount{Requests: 2})
+	for s.request(0, 0) {
+		s.advance(time.Millisecond)
+	}
+	var wait time.Duration
+	for _, effect := range s.borrowers[0].Step(s.now, limit.Requested{Workspace: "w"}) {
+		if d, ok := effect.(limit.Denied); ok {
+			wait = d.RetryAfter
+		}
+	}
+	if wait <= 0 || wait > time.Second {
+		t.Fatalf("retry after %s at 2 requests a second", wait)
+	}
+	s.advance(wait * 9 / 10)
+	if s.request(0, 0) {
+		t.Error("admitted before the time")
+	}
+	s.advance(wait / 10)
+	if !s.request(0, 0) {
+		t.Error("not admitted after the time")
+	}
+}
+
+func TestUnlimitedKeepsNoState(t *testing.T) {
+	b := &limit.Borrower{}
+	for _, effect := range b.Step(time.Unix(1000, 0), limit.Requested{Workspace: "w", Tokens: 1e9}) {
+		if _, ok := effect.(limit.Admitted); !ok {
+			t.Errorf("%T", effect)
+		}
+	}
+	if b.Accounts() != 0 {
+		t.Error("an account for a workspace without limits")
+	}
+}
+
+func TestIdleWorkspacesAreForgotten(t *testing.T) {
+	s := newSystem(1, limit.Amount{Requests: 5})
+	s.request(0, 0)
+	s.advance(time.Second)
+	s.advance(2 * time.Minute)
+	s.lender.Step(s.now, limit.Ticked{})
+	s.borrowers[0].Step(s.now, limit.Passed{})
+	if s.lender.Buckets() != 0 || s.borrowers[0].Accounts() != 0 {
+		t.Errorf("%d buckets and %d accounts are left", s.lender.Buckets(), s.borrowers[0].Accounts())
+	}
+}
+
+func BenchmarkRequested(b *testing.B) {
+	for _, n := range []int{10, 1000, 37000} {
+		rates := map[id.Workspace]limit.Amount{}
+		names := make([]id.Workspace, n)
+		for i := range n {
+			names[i] = id.Workspace(fmt.Sprint("workspace-", i))
+			rates[names[i]] = limit.Amount{Requests: 100, Tokens: 10000}
+		}
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			borrower := &limit.Borrower{}
+			now := time.Unix(1000, 0)
+			borrower.Step(now, limit.Configured{Rates: rates, Members: 4})
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Microsecond)
+				for _, effect := range borrower.Step(now, limit.Requested{Workspace: names[i%n], Tokens: 100}) {
+					if borrow, ok := effect.(limit.Borrow); ok {
+						borrower.Step(now, limit.Lent{Workspace: borrow.Workspace, Amount: borrow.Want})
+					}
+				}
+			}
+		})
+	}
+}
