limits: apply the limits at entries and lend at limit homes

Admit may wait for a loan for at most 3 times 250 ms. A lender's bucket now starts full: an idle workspace's first burst was refused for 50 ms while the bucket was empty (8 of 400 tries admitted at 100 a second).

--- a/coordination/limit/borrower.go
+++ b/coordination/limit/borrower.go
@@ -254,7 +254,6 @@
 			b.accounts = map[id.Workspace]*account{}
 		}
 		a = &account{demandAt: now}
-		a.share.level = shareBound(b.rates[workspace], b.members)
 		b.accounts[workspace] = a
 	}
 	a.usedAt = now
--- a/coordination/limit/lender.go
+++ b/coordination/limit/lender.go
@@ -48,8 +48,8 @@
 
 func (Granted) lenderEffect() {}
 
-// forgetIdle is how long an unused bucket is kept. A forgotten one starts
-// empty, so nothing is lent twice.
+// forgetIdle is how long an unused bucket is kept. It is longer than Burst, so
+// that a forgotten bucket is full, as a new one.
 const forgetIdle = time.Minute
 
 // Step applies ev at now and returns the effects to carry out, in order.
--- a/coordination/limit/limit.go
+++ b/coordination/limit/limit.go
@@ -83,14 +83,18 @@
 	at    time.Time
 }
 
-// refill adds what rate gives since the last refill, up to bound.
+// refill adds what rate gives since the last refill, up to bound. A new bucket
+// is full.
 func (b *bucket) refill(now time.Time, rate, bound Amount) {
-	if !b.at.IsZero() && now.After(b.at) {
+	switch {
+	case b.at.IsZero():
+		b.level = bound
+	case now.After(b.at):
 		b.level = b.level.add(rate.times(now.Sub(b.at).Seconds())).atMost(bound)
+	default:
+		return
 	}
-	if b.at.IsZero() || now.After(b.at) {
-		b.at = now
-	}
+	b.at = now
 }
 
 // burst is the bound of a bucket of rate: a Burst of it, or one request.
--- /dev/null
+++ b/instance/limits/limits.go
@@ -0,0 +1,262 @@
+// Package limits applies the rate limits of workspaces at one instance: it
+// borrows credits for the requests that enter here, and lends those of the
+// workspaces whose limit home it is.
+package limits
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/limit"
+	"samphirehead/coordination/member"
+	"samphirehead/protocol/peer"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+const (
+	passInterval  = time.Second
+	borrowTimeout = 250 * time.Millisecond
+	// maxWaits bounds the loans that one request waits for.
+	maxWaits = 3
+	// maxLoans bounds the loans in flight; beyond it a loan fails at once.
+	maxLoans = 256
+)
+
+// Limits drives the limits of one instance. Exported fields are set before
+// Run.
+type Limits struct {
+	Self id.Instance
+	// Members returns all known instances.
+	Members func() []member.Record
+	// Remote returns the client of the limit home at a peer address.
+	Remote func(address string) peer.Limit
+	// Stamp is put on each message.
+	Stamp func() *peer.Stamp
+	// Seen hears the stamp of each message.
+	Seen func(s *peer.Stamp)
+
+	once  sync.Once
+	loans chan limit.Borrow
+
+	mu       sync.Mutex
+	lender   limit.Lender
+	borrower limit.Borrower
+	rates    map[id.Workspace]limit.Amount
+	// waiting holds, for each workspace with a loan in flight, what is closed
+	// when the loan ends.
+	waiting map[id.Workspace]chan struct{}
+}
+
+func (l *Limits) init() {
+	l.loans = make(chan limit.Borrow, maxLoans)
+	l.waiting = map[id.Workspace]chan struct{}{}
+}
+
+// Run asks for loans until ctx ends.
+func (l *Limits) Run(ctx context.Context) error {
+	l.once.Do(l.init)
+	ticker := time.NewTicker(passInterval)
+	defer ticker.Stop()
+	ended := make(chan struct{})
+	inFlight := 0
+	for {
+		incoming := l.loans
+		if inFlight == maxLoans {
+			incoming = nil
+		}
+		select {
+		case <-ctx.Done():
+			for range inFlight {
+				<-ended
+			}
+			return nil
+		case <-ticker.C:
+			l.pass()
+		case <-ended:
+			inFlight--
+		case b := <-incoming:
+			inFlight++
+			go func() {
+				l.finish(b.Workspace, l.borrow(ctx, b))
+				ended <- struct{}{}
+			}()
+		}
+	}
+}
+
+// Configure replaces the limits and notes the number of live instances.
+func (l *Limits) Configure(workspaces []manifest.Workspace) {
+	rates := make(map[id.Workspace]limit.Amount)
+	for _, w := range workspaces {
+		rate := limit.Amount{Requests: w.RequestsPerSecond, Tokens: w.TokensPerSecond}
+		if rate.Limited() {
+			rates[w.Name] = rate
+		}
+	}
+	owners := l.owners()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rates = rates
+	now := time.Now()
+	l.lender.Step(now, limit.RatesSet{Rates: rates})
+	l.borrower.Step(now, limit.Configured{Rates: rates, Members: owners})
+}
+
+// pass lets time pass and takes in the number of members.
+func (l *Limits) pass() {
+	owners := l.owners()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.lender.Step(now, limit.Ticked{})
+	l.borrower.Step(now, limit.Passed{})
+	l.borrower.Step(now, limit.Configured{Rates: l.rates, Members: owners})
+}
+
+func (l *Limits) owners() int {
+	n := 0
+	for _, r := range l.Members() {
+		if r.CanOwn() {
+			n++
+		}
+	}
+	return n
+}
+
+// Admit reports whether a request with an estimate of its tokens is within
+// the limits of its workspace, and if not, when to ask again. It may wait for
+// a loan, at most maxWaits times borrowTimeout.
+func (l *Limits) Admit(ctx context.Context, workspace id.Workspace, tokens id.Tokens) (retryAfter time.Duration, admitted bool) {
+	l.once.Do(l.init)
+	for try := range maxWaits {
+		answer, loan := l.request(limit.Requested{Workspace: workspace, Tokens: float64(tokens), Again: try > 0})
+		switch answer := answer.(type) {
+		case limit.Admitted:
+			return 0, true
+		case limit.Denied:
+			return answer.RetryAfter, false
+		}
+		select {
+		case <-loan:
+		case <-ctx.Done():
+			return borrowTimeout, false
+		}
+	}
+	return borrowTimeout, false
+}
+
+// Used corrects the estimate of an admitted request.
+func (l *Limits) Used(workspace id.Workspace, estimated, used id.Tokens) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.borrower.Step(time.Now(), limit.Settled{Workspace: workspace, Tokens: float64(used - estimated)})
+}
+
+// request returns the answer and, for Wait, what is closed when the loan ends.
+func (l *Limits) request(ev limit.Requested) (limit.BorrowerEffect, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var answer limit.BorrowerEffect
+	for _, effect := range l.borrower.Step(time.Now(), ev) {
+		if b, ok := effect.(limit.Borrow); ok {
+			l.start(b)
+			continue
+		}
+		answer = effect
+	}
+	return answer, l.waiting[ev.Workspace]
+}
+
+// start hands a loan to Run; l.mu is held.
+func (l *Limits) start(b limit.Borrow) {
+	l.waiting[b.Workspace] = make(chan struct{})
+	select {
+	case l.loans <- b:
+	default:
+		l.end(b.Workspace, limit.Failed{Workspace: b.Workspace})
+	}
+}
+
+func (l *Limits) finish(workspace id.Workspace, ev limit.BorrowerEvent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end(workspace, ev)
+}
+
+// end reports the end of a loan; l.mu is held.
+func (l *Limits) end(workspace id.Workspace, ev limit.BorrowerEvent) {
+	l.borrower.Step(time.Now(), ev)
+	if ended, ok := l.waiting[workspace]; ok {
+		close(ended)
+		delete(l.waiting, workspace)
+	}
+}
+
+// borrow asks the limit home and returns how that ended.
+func (l *Limits) borrow(ctx context.Context, b limit.Borrow) limit.BorrowerEvent {
+	at := limit.HomeOf(b.Workspace, l.Members())
+	if at == l.Self {
+		return limit.Lent(l.lend(limit.Asked(b)))
+	}
+	granted, err := l.borrowAt(ctx, at, b)
+	if err != nil {
+		klog.V(2).InfoS("no loan", "workspace", b.Workspace, "home", at, "err", err)
+		return limit.Failed{Workspace: b.Workspace}
+	}
+	return limit.Lent(granted)
+}
+
+func (l *Limits) borrowAt(ctx context.Context, at id.Instance, b limit.Borrow) (limit.Granted, error) {
+	address := l.address(at)
+	if address == "" {
+		return limit.Granted{}, fault.New("borrow", string(at), "no limit home")
+	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	response, err := l.Remote(address).Borrow(ctx, &peer.BorrowRequest{Stamp: l.Stamp(), Loans: []*peer.Loan{peer.LoanFrom(b)}})
+	if err != nil {
+		return limit.Granted{}, fault.At("borrow", string(at), err)
+	}
+	l.Seen(response.Stamp)
+	if len(response.Credits) != 1 || response.Credits[0].Workspace != string(b.Workspace) {
+		return limit.Granted{}, fault.New("borrow", string(at), "answer for another workspace")
+	}
+	return response.Credits[0].Granted(), nil
+}
+
+func (l *Limits) address(instance id.Instance) string {
+	for _, r := range l.Members() {
+		if r.Instance == instance {
+			return r.PeerAddress
+		}
+	}
+	return ""
+}
+
+// Borrow lends to another instance.
+func (l *Limits) Borrow(_ context.Context, r *peer.BorrowRequest) (*peer.BorrowResponse, error) {
+	l.Seen(r.Stamp)
+	response := &peer.BorrowResponse{Stamp: l.Stamp()}
+	for _, loan := range r.Loans {
+		response.Credits = append(response.Credits, peer.CreditFrom(l.lend(loan.Asked())))
+	}
+	return response, nil
+}
+
+func (l *Limits) lend(ev limit.Asked) limit.Granted {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, effect := range l.lender.Step(time.Now(), ev) {
+		if g, ok := effect.(limit.Granted); ok {
+			return g
+		}
+	}
+	return limit.Granted{Workspace: ev.Workspace}
+}
+
+var _ peer.Limit = (*Limits)(nil)
