rollout: accept and spread manifest versions

The platform's poll was the only way to a new version, and an apply whose answer was lost ended as unknown. Now an apply writes the current row and the row of its version in the history together, and settles a lost answer by reading the latter; a repeat of the operation gets the result of the first, also after further versions. Instances learn of versions by stamps, from peers and by a poll that slows down with the number of instances.

--- /dev/null
+++ b/coordination/rollout/rollout.go
@@ -0,0 +1,250 @@
+package rollout
+
+import (
+	"time"
+
+	"samphirehead/state/id"
+	"samphirehead/state/record"
+)
+
+const (
+	// pollLeast is the shortest interval between reads of the current row.
+	pollLeast = 500 * time.Millisecond
+	// pollShare is the time that each instance adds to the interval, which
+	// bounds the reads of all instances together to 200 a second.
+	pollShare = 5 * time.Millisecond
+	// retryFetch is the delay after a failed fetch of a version that is
+	// known to exist.
+	retryFetch = 100 * time.Millisecond
+	// cutOffAfter is how long an instance trusts its version without word
+	// from the platform or a peer.
+	cutOffAfter = 5 * time.Second
+)
+
+// Event is one input of a Rollout.
+type Event interface{ event() }
+
+// Started is the first event.
+type Started struct{}
+
+// Sized reports the number of live instances.
+type Sized struct{ Instances int }
+
+// Stamped reports the version that a message of a peer carried.
+type Stamped struct {
+	Version id.ManifestVersion
+	From    id.Instance
+}
+
+// RowPolled reports the end of ReadCurrent; the row has version 0 where it is
+// absent.
+type RowPolled struct {
+	Row record.Row
+	Err error
+}
+
+// Fetched reports a manifest that was obtained and is valid: by FetchObject or
+// FetchFromPeer, or by accepting it here.
+type Fetched struct {
+	Version id.ManifestVersion
+	YAML    []byte
+}
+
+// FetchFailed reports that FetchObject or FetchFromPeer brought nothing.
+type FetchFailed struct{}
+
+// Ticked reports that the time of a WakeAt has come.
+type Ticked struct{}
+
+func (Started) event()     {}
+func (Sized) event()       {}
+func (Stamped) event()     {}
+func (RowPolled) event()   {}
+func (Fetched) event()     {}
+func (FetchFailed) event() {}
+func (Ticked) event()      {}
+
+// Effect is one output of a Rollout.
+type Effect interface{ effect() }
+
+// ReadCurrent asks for the current row, to be answered by RowPolled.
+type ReadCurrent struct{}
+
+// FetchObject asks for the manifest of a version from the object store, to be
+// answered by Fetched or FetchFailed.
+type FetchObject struct {
+	Version id.ManifestVersion
+	Object  string
+}
+
+// FetchFromPeer asks for the manifest of a peer, of this version or a higher
+// one, to be answered by Fetched or FetchFailed.
+type FetchFromPeer struct {
+	Version  id.ManifestVersion
+	Instance id.Instance
+}
+
+// Install puts a manifest in force. The versions of all Installs rise.
+type Install struct {
+	Version id.ManifestVersion
+	YAML    []byte
+}
+
+// WakeAt asks for a Ticked at the time or soon after. A later WakeAt does not
+// replace an earlier one.
+type WakeAt struct{ Time time.Time }
+
+func (ReadCurrent) effect()   {}
+func (FetchObject) effect()   {}
+func (FetchFromPeer) effect() {}
+func (Install) effect()       {}
+func (WakeAt) effect()        {}
+
+// Rollout is the state machine that keeps the manifest of one instance up to
+// date. It is not safe for use by several goroutines.
+type Rollout struct {
+	version id.ManifestVersion
+	// known is the highest version that is known to be accepted.
+	known     id.ManifestVersion
+	knownFrom id.Instance
+	instances int
+	polling   bool
+	fetching  bool
+	nextPoll  time.Time
+	// nextFetch is when a failed fetch is tried again; zero for no retry.
+	nextFetch time.Time
+	lastHeard time.Time
+}
+
+// Version returns the version in force; 0 before the first.
+func (r *Rollout) Version() id.ManifestVersion { return r.version }
+
+// Behind reports whether a version is known to be accepted that is not in
+// force here. An instance that is behind decides nothing by its own version.
+func (r *Rollout) Behind() bool { return r.known > r.version }
+
+// CutOff reports whether neither the platform nor a peer was heard for so long
+// that a newer version may be in force elsewhere.
+func (r *Rollout) CutOff(now time.Time) bool {
+	return now.Sub(r.lastHeard) >= cutOffAfter
+}
+
+// Step applies ev at now and returns the effects to carry out, in order.
+func (r *Rollout) Step(now time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Started:
+		r.lastHeard = now
+		return r.poll(now)
+	case Sized:
+		r.instances = ev.Instances
+	case Stamped:
+		return r.stamped(now, ev)
+	case RowPolled:
+		return r.polled(now, ev)
+	case Fetched:
+		return r.fetched(now, ev)
+	case FetchFailed:
+		r.fetching = false
+		return r.retry(now)
+	case Ticked:
+		return r.ticked(now)
+	}
+	return nil
+}
+
+func (r *Rollout) interval() time.Duration {
+	return max(pollLeast, time.Duration(r.instances)*pollShare)
+}
+
+func (r *Rollout) poll(now time.Time) []Effect {
+	r.nextPoll = now.Add(r.interval())
+	out := []Effect{WakeAt{r.nextPoll}}
+	if r.polling {
+		return out
+	}
+	r.polling = true
+	return append(out, ReadCurrent{})
+}
+
+func (r *Rollout) stamped(now time.Time, ev Stamped) []Effect {
+	r.lastHeard = now
+	if ev.Version <= r.known || ev.Version <= r.version {
+		return nil
+	}
+	r.known = ev.Version
+	r.knownFrom = ev.From
+	return r.fetchFromPeer()
+}
+
+func (r *Rollout) fetchFromPeer() []Effect {
+	if r.fetching || r.knownFrom == "" {
+		return nil
+	}
+	r.fetching = true
+	return []Effect{FetchFromPeer{r.known, r.knownFrom}}
+}
+
+func (r *Rollout) polled(now time.Time, ev RowPolled) []Effect {
+	r.polling = false
+	if ev.Err != nil {
+		return r.retry(now)
+	}
+	row, err := DecodeRow(ev.Row)
+	if err != nil {
+		return r.retry(now)
+	}
+	r.lastHeard = now
+	if row.Version <= r.version || r.fetching {
+		return nil
+	}
+	r.known = max(r.known, row.Version)
+	r.fetching = true
+	return []Effect{FetchObject{row.Version, row.Object}}
+}
+
+func (r *Rollout) fetched(now time.Time, ev Fetched) []Effect {
+	r.fetching = false
+	if ev.Version <= r.version {
+		return r.retry(now)
+	}
+	r.version = ev.Version
+	r.known = max(r.known, ev.Version)
+	return append([]Effect{Install(ev)}, r.retry(now)...)
+}
+
+// retry tries again soon while the instance is behind or has no version.
+func (r *Rollout) retry(now time.Time) []Effect {
+	if !r.Behind() && r.version != 0 {
+		return nil
+	}
+	if !r.nextFetch.IsZero() {
+		return nil
+	}
+	r.nextFetch = now.Add(retryFetch)
+	return []Effect{WakeAt{r.nextFetch}}
+}
+
+func (r *Rollout) ticked(now time.Time) []Effect {
+	var out []Effect
+	if !r.nextFetch.IsZero() && !now.Before(r.nextFetch) {
+		r.nextFetch = time.Time{}
+		out = append(out, r.fetchAgain()...)
+	}
+	if !now.Before(r.nextPoll) {
+		out = append(out, r.poll(now)...)
+	}
+	return out
+}
+
+// fetchAgain asks the peer and the platform at the same time.
+func (r *Rollout) fetchAgain() []Effect {
+	if !r.Behind() && r.version != 0 {
+		return nil
+	}
+	out := r.fetchFromPeer()
+	if !r.polling {
+		r.polling = true
+		out = append(out, ReadCurrent{})
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/rollout/rollout_test.go
@@ -0,0 +1,492 @@
+package rollout_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"samphirehead/coordination/rollout"
+	"samphirehead/state/id"
+	"samphirehead/state/record"
+)
+
+// TestMain fixes the seed and the amount of work; flags of rapid on the
+// command line take precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// protection names a rule that the harness breaks on purpose.
+type protection string
+
+const (
+	none            protection = "none"
+	conditionalness protection = "writes are conditional"
+	doubt           protection = "a lost answer is not taken for a refusal"
+	confirmed       protection = "a lost answer is not taken for success"
+	ownVersion      protection = "a peer names the version that it has"
+	transaction     protection = "current row and history change together"
+)
+
+// errFault stands for any failure of the platform or a peer.
+var errFault = os.ErrDeadlineExceeded
+
+type fakeTable struct {
+	rows    map[record.Key]record.Row
+	objects map[string][]byte
+	late    [][]record.Write
+	broken  protection
+}
+
+func (s *fakeTable) apply(writes []record.Write) record.WriteResult {
+	var conflicts []record.Row
+	for _, w := range writes {
+		if row := s.rows[w.Key]; row.Version != w.Expected {
+			row.Key = w.Key
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 && s.broken != conditionalness {
+		return record.Conflicted{Rows: conflicts}
+	}
+	var versions []record.Version
+	for n, w := range writes {
+		if n > 0 && s.broken == transaction {
+			versions = append(versions, 1)
+			continue
+		}
+		row := record.Row{Key: w.Key, Version: s.rows[w.Key].Version + 1, Value: w.Value}
+		s.rows[w.Key] = row
+		versions = append(versions, row.Version)
+	}
+	return record.Written{Versions: versions}
+}
+
+// instance is one process with its rollout.
+type instance struct {
+	name    id.Instance
+	rollout *rollout.Rollout
+	yaml    string
+	version id.ManifestVersion
+	pending []rollout.Effect
+}
+
+// operation is one try of an operator to apply a manifest.
+type operation struct {
+	apply   *rollout.Apply
+	pending []rollout.ApplyEffect
+	result  rollout.ApplyResult
+	crashed bool
+	repeat  bool
+}
+
+type harness struct {
+	t          *rapid.T
+	now        time.Time
+	table      fakeTable
+	instances  []*instance
+	operations []*operation
+	// accepted maps each version to the one manifest that won it.
+	accepted map[id.ManifestVersion]string
+	results  map[string]int
+	calm     bool
+}
+
+type violation string
+
+func (h *harness) fail(format string, args ...any) { panic(violation(fmt.Sprintf(format, args...))) }
+
+func (h *harness) draw(n int, label string) int {
+	if n <= 1 || h.calm {
+		return 0
+	}
+	return rapid.IntRange(0, n-1).Draw(h.t, label)
+}
+
+func (h *harness) restart(i *instance) {
+	*i = instance{name: i.name, rollout: &rollout.Rollout{}}
+	h.step(i, rollout.Started{})
+}
+
+func (h *harness) step(i *instance, ev rollout.Event) {
+	for _, effect := range i.rollout.Step(h.now, ev) {
+		switch e := effect.(type) {
+		case rollout.Install:
+			h.installed(i, e)
+		case rollout.WakeAt:
+		default:
+			i.pending = append(i.pending, e)
+		}
+	}
+}
+
+func (h *harness) installed(i *instance, e rollout.Install) {
+	if e.Version <= i.version {
+		h.fail("version went from %d to %d", i.version, e.Version)
+	}
+	i.version, i.yaml = e.Version, string(e.YAML)
+	if won := h.accepted[e.Version]; won != i.yaml {
+		h.fail("version %d in force as %q, accepted as %q", e.Version, i.yaml, won)
+	}
+}
+
+func (h *harness) stamp() {
+	from := h.instances[h.draw(len(h.instances), "from")]
+	to := h.instances[h.draw(len(h.instances), "to")]
+	h.step(to, rollout.Stamped{Version: from.version, From: from.name})
+	if from.version > to.version && !to.rollout.Behind() {
+		h.fail("an instance that saw version %d is not behind with %d", from.version, to.version)
+	}
+}
+
+func (h *harness) deliver() {
+	i := h.instances[h.draw(len(h.instances), "instance")]
+	h.deliverTo(i)
+}
+
+func (h *harness) deliverTo(i *instance) {
+	if len(i.pending) == 0 {
+		return
+	}
+	effect := i.pending[0]
+	i.pending = i.pending[1:]
+	failed := h.draw(4, "fault") == 1
+	switch e := effect.(type) {
+	case rollout.ReadCurrent:
+		if failed {
+			h.step(i, rollout.RowPolled{Err: errFault})
+			return
+		}
+		h.step(i, rollout.RowPolled{Row: h.table.rows[rollout.CurrentKey]})
+	case rollout.FetchObject:
+		if failed {
+			h.step(i, rollout.FetchFailed{})
+			return
+		}
+		h.step(i, rollout.Fetched{Version: e.Version, YAML: h.table.objects[e.Object]})
+	case rollout.FetchFromPeer:
+		h.step(i, h.askPeer(e, failed))
+	}
+}
+
+func (h *harness) askPeer(e rollout.FetchFromPeer, failed bool) rollout.Event {
+	for _, peer := range h.instances {
+		if peer.name != e.Instance || failed || peer.version == 0 {
+			continue
+		}
+		version := peer.version
+		if h.table.broken == ownVersion {
+			version = e.Version
+		}
+		return rollout.Fetched{Version: version, YAML: []byte(peer.yaml)}
+	}
+	return rollout.FetchFailed{}
+}
+
+func (h *harness) apply() {
+	n := len(h.operations)
+	o := &operation{apply: &rollout.Apply{
+		Base:      h.instances[h.draw(len(h.instances), "author")].version,
+		Operation: id.Attempt(fmt.Sprint(n)),
+		YAML:      []byte(fmt.Sprintf("manifest %d", n)),
+		Deadline:  h.now.Add(time.Duration(h.draw(1000, "deadline")) * time.Millisecond),
+	}}
+	h.begin(o)
+}
+
+// repeat tries an earlier operation again, as a client does without an answer.
+func (h *harness) repeat() {
+	if len(h.operations) == 0 {
+		return
+	}
+	first := h.operations[h.draw(len(h.operations), "operation")]
+	first.repeat = true
+	h.begin(&operation{repeat: true, apply: &rollout.Apply{
+		Base: first.apply.Base, Operation: first.apply.Operation, YAML: first.apply.YAML, Deadline: h.now.Add(time.Second),
+	}})
+}
+
+func (h *harness) begin(o *operation) {
+	h.operations = append(h.operations, o)
+	h.stepApply(o, rollout.ApplyStarted{})
+}
+
+func (h *harness) stepApply(o *operation, ev rollout.ApplyEvent) {
+	for _, effect := range o.apply.Step(h.now, ev) {
+		switch e := effect.(type) {
+		case rollout.Applied:
+			o.result = e.Result
+			h.results[fmt.Sprintf("%T", e.Result)]++
+		case rollout.ApplyWakeAt:
+		default:
+			o.pending = append(o.pending, e)
+		}
+	}
+}
+
+func (h *harness) deliverApply() {
+	var open []*operation
+	for _, o := range h.operations {
+		if len(o.pending) > 0 && !o.crashed {
+			open = append(open, o)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	o := open[h.draw(len(open), "operation")]
+	effect := o.pending[0]
+	o.pending = nil
+	switch e := effect.(type) {
+	case rollout.ReadRows:
+		if h.draw(5, "read") == 1 {
+			h.stepApply(o, rollout.RowsRead{Err: errFault})
+			return
+		}
+		var rows []record.Row
+		for _, key := range e.Keys {
+			if row, ok := h.table.rows[key]; ok {
+				rows = append(rows, row)
+			}
+		}
+		h.stepApply(o, rollout.RowsRead{Rows: rows})
+	case rollout.PutObject:
+		h.table.objects[e.Name] = e.Body
+		var err error
+		if h.draw(5, "put") == 1 {
+			err = errFault
+		}
+		h.stepApply(o, rollout.ObjectPut{Err: err})
+	case rollout.WriteRows:
+		h.stepApply(o, rollout.RowsWritten{Result: h.write(e.Writes)})
+	}
+}
+
+func (h *harness) write(writes []record.Write) record.WriteResult {
+	faults := []string{"", "", "", "lost answer", "lost", "late", "refused"}
+	switch faults[h.draw(len(faults), "write")] {
+	case "lost answer":
+		h.commit(writes)
+	case "lost":
+	case "late":
+		h.table.late = append(h.table.late, writes)
+	case "refused":
+		return record.Refused{Err: errFault}
+	default:
+		return h.commit(writes)
+	}
+	if h.table.broken == doubt {
+		return record.Refused{Err: errFault}
+	}
+	if h.table.broken == confirmed {
+		return record.Written{Versions: []record.Version{1, 1}}
+	}
+	return record.Unknown{Err: errFault}
+}
+
+// commit applies writes and notes which manifest won a version.
+func (h *harness) commit(writes []record.Write) record.WriteResult {
+	before := h.current()
+	result := h.table.apply(writes)
+	if _, ok := result.(record.Written); !ok {
+		return result
+	}
+	row := h.current()
+	if row.Version <= before.Version {
+		h.fail("accepted version went from %d to %d", before.Version, row.Version)
+	}
+	h.accepted[row.Version] = string(h.table.objects[row.Object])
+	return result
+}
+
+func (h *harness) current() rollout.Row {
+	row, err := rollout.DecodeRow(h.table.rows[rollout.CurrentKey])
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return row
+}
+
+func (h *harness) landLate() {
+	if len(h.table.late) == 0 {
+		return
+	}
+	n := h.draw(len(h.table.late), "late")
+	writes := h.table.late[n]
+	h.table.late = append(h.table.late[:n:n], h.table.late[n+1:]...)
+	h.commit(writes)
+}
+
+func (h *harness) pass() {
+	h.now = h.now.Add(time.Duration(1+h.draw(700, "ms")) * time.Millisecond)
+	if h.calm {
+		h.now = h.now.Add(time.Second)
+	}
+	for _, i := range h.instances {
+		if h.draw(4, "paused") != 1 {
+			h.step(i, rollout.Ticked{})
+		}
+	}
+	for _, o := range h.operations {
+		if !o.crashed && h.draw(4, "paused") != 1 {
+			h.stepApply(o, rollout.ApplyTicked{})
+		}
+	}
+}
+
+func (h *harness) crash() {
+	if h.draw(3, "what") == 0 {
+		h.restart(h.instances[h.draw(len(h.instances), "instance")])
+		return
+	}
+	if len(h.operations) > 0 {
+		h.operations[h.draw(len(h.operations), "operation")].crashed = true
+	}
+}
+
+// check compares what operators were told with what was accepted.
+func (h *harness) check() {
+	for _, o := range h.operations {
+		won := h.accepted[o.apply.Base+1] == string(o.apply.YAML)
+		switch o.result.(type) {
+		case rollout.Accepted:
+			if !won {
+				h.fail("a manifest that was not accepted was called accepted")
+			}
+		case rollout.Conflict:
+			if won {
+				h.fail("an accepted manifest was called a conflict")
+			}
+		case rollout.NotApplied:
+			if won && !o.repeat {
+				h.fail("an accepted manifest was called not applied")
+			}
+		}
+	}
+}
+
+// settle ends the faults and checks that all instances reach the version in
+// force.
+func (h *harness) settle() {
+	h.calm = true
+	for len(h.table.late) > 0 {
+		h.landLate()
+		h.check()
+	}
+	for range 6 {
+		h.pass()
+		for _, i := range h.instances {
+			for len(i.pending) > 0 {
+				h.deliverTo(i)
+			}
+		}
+	}
+	for _, i := range h.instances {
+		if i.version != h.current().Version {
+			h.fail("instance stays at version %d, in force is %d", i.version, h.current().Version)
+		}
+	}
+}
+
+func scenario(t *rapid.T, broken protection, taken *atomic.Int64, results map[string]int) (broke string) {
+	h := &harness{
+		t: t, now: time.Unix(1e9, 0), results: results,
+		table:    fakeTable{rows: map[record.Key]record.Row{}, objects: map[string][]byte{}, broken: broken},
+		accepted: map[id.ManifestVersion]string{},
+	}
+	defer func() {
+		p := recover()
+		if v, ok := p.(violation); ok {
+			broke = string(v)
+		} else if p != nil {
+			panic(p)
+		}
+	}()
+	for n := range 3 {
+		i := &instance{name: id.Instance(fmt.Sprint(n))}
+		h.instances = append(h.instances, i)
+		h.restart(i)
+	}
+	actions := []func(){
+		h.apply, h.repeat, h.deliverApply, h.deliverApply, h.deliverApply, h.deliverApply,
+		h.deliver, h.deliver, h.deliver, h.stamp, h.stamp, h.landLate, h.pass, h.crash,
+	}
+	for range 20 + rapid.IntRange(0, 100).Draw(t, "steps") {
+		taken.Add(1)
+		actions[h.draw(len(actions), "action")]()
+		h.check()
+	}
+	h.settle()
+	return ""
+}
+
+func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	var taken atomic.Int64
+	results := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		if broke := scenario(rt, none, &taken, results); broke != "" {
+			rt.Fatal(broke)
+		}
+	})
+	t.Logf("%d steps, results %v", taken.Load(), results)
+	if len(results) != 4 {
+		t.Errorf("got results %v, want all four kinds", results)
+	}
+}
+
+func TestChecksCatchEachProtectionOff(t *testing.T) {
+	for _, p := range []protection{conditionalness, doubt, confirmed, ownVersion, transaction} {
+		t.Run(string(p), func(t *testing.T) {
+			var taken atomic.Int64
+			const seeds = 500
+			runs := rapid.Custom(func(rt *rapid.T) string { return scenario(rt, p, &taken, map[string]int{}) })
+			caught := 0
+			example := ""
+			for seed := range seeds {
+				if broke := runs.Example(seed); broke != "" {
+					caught++
+					example = broke
+				}
+			}
+			t.Logf("caught in %d of %d seeds, such as: %s", caught, seeds, example)
+			if caught == 0 {
+				t.Error("no check caught it")
+			}
+		})
+	}
+}
+
+func TestCutOff(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	cases := []struct {
+		name  string
+		event rollout.Event
+		want  bool
+	}{
+		{"silence", rollout.Ticked{}, true},
+		{"platform down", rollout.RowPolled{Err: errFault}, true},
+		{"platform up", rollout.RowPolled{}, false},
+		{"peer heard", rollout.Stamped{From: "b"}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var r rollout.Rollout
+			r.Step(start, rollout.Started{})
+			now := start.Add(6 * time.Second)
+			r.Step(now, tc.event)
+			if got := r.CutOff(now); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/instance/manifests/manifests.go
+++ b/instance/manifests/manifests.go
@@ -1,17 +1,16 @@
 // Package manifests keeps the manifest of one instance up to date with the
-// platform's table.
+// platform and the peers, and applies new ones.
 package manifests
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"samphirehead/coordination/rollout"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
@@ -19,8 +18,8 @@
 )
 
 const (
-	pollInterval = 500 * time.Millisecond
-	currentKey   = record.Key("manifest/current")
+	readTimeout  = time.Second
+	fetchTimeout = 2 * time.Second
 )
 
 // Store is the part of the platform that keeps manifests.
@@ -32,47 +31,53 @@
 	GetObject(ctx context.Context, name string) ([]byte, error)
 }
 
-// row is the value of the row that names the current manifest.
-type row struct {
-	Version     id.ManifestVersion `json:"version"`
-	Operation   id.Attempt         `json:"operation"`
-	Author      id.Instance        `json:"author_instance"`
-	AppliedAtMs int64              `json:"applied_unix_ms"`
-	Object      string             `json:"yaml_object"`
-}
-
-// Manifests polls for new versions. Its exported fields are set before Run.
+// Manifests holds the manifest in force at one instance. Its exported fields
+// are set before Init.
 type Manifests struct {
 	Self  id.Instance
 	Store Store
+	// FetchPeer returns the version in force at a peer and its manifest.
+	// When nil, manifests come from the platform only.
+	FetchPeer func(ctx context.Context, from id.Instance) (id.ManifestVersion, []byte, error)
+
+	changed chan struct{}
+	events  chan rollout.Event
+	// handed wakes Run when pending has grown.
+	handed chan struct{}
 
 	mu      sync.Mutex
-	version id.ManifestVersion
+	machine rollout.Rollout
 	current *manifest.Manifest
 	yaml    []byte
-	changed chan struct{}
-	wake    chan struct{}
+	// pending holds effects that are left to Run.
+	pending []rollout.Effect
 }
 
-// Init makes Changed and Seen usable before Run.
+// Init makes all methods usable before Run.
 func (m *Manifests) Init() {
 	m.changed = make(chan struct{}, 1)
-	m.wake = make(chan struct{}, 1)
+	m.events = make(chan rollout.Event)
+	m.handed = make(chan struct{}, 1)
 }
 
-// Run polls until ctx ends.
+// Run follows the versions until ctx ends.
 func (m *Manifests) Run(ctx context.Context) error {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
+	work := &follower{manifests: m, ctx: ctx}
+	defer work.open.Wait()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	work.step(rollout.Started{})
 	for {
-		if err := m.poll(ctx); err != nil && ctx.Err() == nil {
-			klog.V(1).InfoS("manifest not read", "err", err)
-		}
+		timer.Reset(work.untilWake(time.Now()))
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-		case <-m.wake:
+		case ev := <-m.events:
+			work.step(ev)
+		case <-m.handed:
+			work.carryOutAll(m.takePending())
+		case <-timer.C:
+			work.step(rollout.Ticked{})
 		}
 	}
 }
@@ -80,103 +85,211 @@
 // Changed receives after a new version came into force.
 func (m *Manifests) Changed() <-chan struct{} { return m.changed }
 
-// Seen hears the version of another instance.
-func (m *Manifests) Seen(v id.ManifestVersion, _ id.Instance) {
-	if version, _, _ := m.Current(); v <= version {
+// Seen hears the version that a message of another instance carried. Behind
+// tells the truth as soon as it returns.
+func (m *Manifests) Seen(v id.ManifestVersion, from id.Instance) {
+	m.hand(m.step(time.Now(), rollout.Stamped{Version: v, From: from}, nil))
+}
+
+// SetInstances says how many live instances share the platform.
+func (m *Manifests) SetInstances(n int) {
+	m.hand(m.step(time.Now(), rollout.Sized{Instances: n}, nil))
+}
+
+// hand leaves effects to Run.
+func (m *Manifests) hand(effects []rollout.Effect) {
+	if len(effects) == 0 {
 		return
 	}
+	m.mu.Lock()
+	m.pending = append(m.pending, effects...)
+	m.mu.Unlock()
 	select {
-	case m.wake <- struct{}{}:
+	case m.handed <- struct{}{}:
 	default:
 	}
 }
 
+func (m *Manifests) takePending() []rollout.Effect {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := m.pending
+	m.pending = nil
+	return taken
+}
+
 // Current returns the manifest in force; the version is 0 before the first.
 func (m *Manifests) Current() (id.ManifestVersion, *manifest.Manifest, []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.version, m.current, m.yaml
+	return m.machine.Version(), m.current, m.yaml
 }
 
-func (m *Manifests) poll(ctx context.Context) error {
-	r, _, err := m.read(ctx)
-	if err != nil || r == nil {
-		return err
-	}
-	if version, _, _ := m.Current(); r.Version <= version {
-		return nil
+// Behind reports whether a higher version is known to be accepted.
+func (m *Manifests) Behind() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Behind()
+}
+
+// CutOff reports whether neither the platform nor any peer was heard for
+// several seconds.
+func (m *Manifests) CutOff() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.CutOff(time.Now())
+}
+
+// step gives ev to the machine, and puts a manifest in force that it installs.
+// It returns the effects left to carry out.
+func (m *Manifests) step(now time.Time, ev rollout.Event, parsed *manifest.Manifest) []rollout.Effect {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var left []rollout.Effect
+	for _, effect := range m.machine.Step(now, ev) {
+		install, ok := effect.(rollout.Install)
+		if !ok {
+			left = append(left, effect)
+			continue
+		}
+		m.current, m.yaml = parsed, install.YAML
+		klog.InfoS("manifest in force", "version", install.Version)
+		select {
+		case m.changed <- struct{}{}:
+		default:
+		}
 	}
-	yaml, err := m.Store.GetObject(ctx, r.Object)
-	if err != nil {
-		return err
+	return left
+}
+
+// follower carries out the effects of the machine for one Run.
+type follower struct {
+	manifests *Manifests
+	ctx       context.Context
+	open      sync.WaitGroup
+	wakes     []time.Time
+}
+
+func (f *follower) step(ev rollout.Event) {
+	now := time.Now()
+	var parsed *manifest.Manifest
+	if fetched, ok := ev.(rollout.Fetched); ok {
+		var err error
+		parsed, err = manifest.Parse(fmt.Sprintf("version %d", fetched.Version), fetched.YAML)
+		if err != nil {
+			klog.ErrorS(err, "fetched manifest is not valid", "version", fetched.Version)
+			ev = rollout.FetchFailed{}
+		}
 	}
-	return m.install(r.Version, yaml)
+	f.carryOutAll(f.manifests.step(now, ev, parsed))
 }
 
-func (m *Manifests) read(ctx context.Context) (*row, record.Version, error) {
-	rows, err := m.Store.Read(ctx, []record.Key{currentKey})
-	if err != nil || len(rows) == 0 {
-		return nil, 0, err
+func (f *follower) carryOutAll(effects []rollout.Effect) {
+	for _, effect := range effects {
+		f.carryOut(effect)
 	}
-	var r row
-	if err := json.Unmarshal(rows[0].Value, &r); err != nil {
-		return nil, 0, fault.At("decode manifest row", "platform", err)
+}
+
+func (f *follower) carryOut(effect rollout.Effect) {
+	switch e := effect.(type) {
+	case rollout.ReadCurrent:
+		f.start(readTimeout, f.readCurrent)
+	case rollout.FetchObject:
+		f.start(fetchTimeout, func(ctx context.Context) rollout.Event { return f.fetchObject(ctx, e) })
+	case rollout.FetchFromPeer:
+		f.start(fetchTimeout, func(ctx context.Context) rollout.Event { return f.fetchFromPeer(ctx, e) })
+	case rollout.WakeAt:
+		f.wakes = append(f.wakes, e.Time)
 	}
-	return &r, rows[0].Version, nil
 }
 
-func (m *Manifests) install(v id.ManifestVersion, yaml []byte) error {
-	parsed, err := manifest.Parse(fmt.Sprintf("version %d", v), yaml)
+// start runs one operation and hands its event to Run.
+func (f *follower) start(timeout time.Duration, operation func(context.Context) rollout.Event) {
+	f.open.Go(func() {
+		ctx, cancel := context.WithTimeout(f.ctx, timeout)
+		defer cancel()
+		ev := operation(ctx)
+		select {
+		case f.manifests.events <- ev:
+		case <-f.ctx.Done():
+		}
+	})
+}
+
+func (f *follower) readCurrent(ctx context.Context) rollout.Event {
+	rows, err := f.manifests.Store.Read(ctx, []record.Key{rollout.CurrentKey})
 	if err != nil {
-		return fault.At("parse manifest", "platform", err)
+		klog.V(1).InfoS("manifest row not read", "err", err)
+		return rollout.RowPolled{Err: err}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if v <= m.version {
-		return nil
+	if len(rows) == 0 {
+		return rollout.RowPolled{}
 	}
-	m.version, m.current, m.yaml = v, parsed, yaml
-	select {
-	case m.changed <- struct{}{}:
-	default:
-	}
-	return nil
+	return rollout.RowPolled{Row: rows[0]}
 }
 
-// Apply makes yaml the successor of version base. It returns the version in
-// force afterwards and whether that is the given manifest.
-func (m *Manifests) Apply(ctx context.Context, base id.ManifestVersion, yaml []byte, operation id.Attempt) (id.ManifestVersion, bool, error) {
-	current, expected, err := m.read(ctx)
+func (f *follower) fetchObject(ctx context.Context, e rollout.FetchObject) rollout.Event {
+	yaml, err := f.manifests.Store.GetObject(ctx, e.Object)
 	if err != nil {
-		return 0, false, err
+		klog.V(1).InfoS("manifest not fetched", "version", e.Version, "err", err)
+		return rollout.FetchFailed{}
 	}
-	version := id.ManifestVersion(0)
-	if current != nil {
-		version = current.Version
+	return rollout.Fetched{Version: e.Version, YAML: yaml}
+}
+
+func (f *follower) fetchFromPeer(ctx context.Context, e rollout.FetchFromPeer) rollout.Event {
+	if f.manifests.FetchPeer == nil {
+		return rollout.FetchFailed{}
 	}
-	if version != base {
-		return version, current.Operation == operation, nil
+	version, yaml, err := f.manifests.FetchPeer(ctx, e.Instance)
+	if err != nil {
+		klog.V(1).InfoS("manifest not fetched", "peer", e.Instance, "version", e.Version, "err", err)
+		return rollout.FetchFailed{}
+	}
+	return rollout.Fetched{Version: version, YAML: yaml}
+}
+
+// untilWake drops the times that have passed.
+func (f *follower) untilWake(now time.Time) time.Duration {
+	wait := time.Hour
+	kept := f.wakes[:0]
+	for _, w := range f.wakes {
+		wait = min(wait, max(0, w.Sub(now)))
+		if w.After(now) {
+			kept = append(kept, w)
+		}
 	}
-	object := fmt.Sprintf("manifest/%d/%s", base+1, operation)
-	if err := m.Store.PutObject(ctx, object, yaml); err != nil {
-		return 0, false, err
+	f.wakes = kept
+	return wait
+}
+
+// Revision is one accepted version in the history.
+type Revision struct {
+	Version   id.ManifestVersion
+	Operation id.Attempt
+	Author    id.Instance
+	AppliedAt time.Time
+}
+
+// History returns at most limit accepted versions, the newest first. It reads
+// the platform.
+func (m *Manifests) History(ctx context.Context, limit int) ([]Revision, error) {
+	current, _, _ := m.Current()
+	after := record.Key("")
+	if current > id.ManifestVersion(limit) {
+		after = rollout.HistoryKey(current - id.ManifestVersion(limit))
 	}
-	value, err := json.Marshal(row{Version: base + 1, Operation: operation, Author: m.Self, AppliedAtMs: time.Now().UnixMilli(), Object: object})
+	rows, err := m.Store.Scan(ctx, rollout.HistoryPrefix, after, limit)
 	if err != nil {
-		return 0, false, fault.At("encode manifest row", "", err)
+		return nil, fault.At("read manifest history", "", err)
 	}
-	switch r := m.Store.Write(ctx, []record.Write{{Key: currentKey, Expected: expected, Value: value}}).(type) {
-	case record.Written:
-		return base + 1, true, m.install(base+1, yaml)
-	case record.Conflicted:
-		return base + 1, false, nil
-	case record.Refused:
-		return 0, false, r.Err
-	case record.Unknown:
-		return 0, false, errors.Mark(r.Err, ErrUnknown)
+	out := make([]Revision, 0, len(rows))
+	for n := len(rows) - 1; n >= 0; n-- {
+		row, err := rollout.DecodeRow(rows[n])
+		if err != nil {
+			return nil, fault.At("read manifest history", "", err)
+		}
+		out = append(out, Revision{row.Version, row.Operation, row.Author, row.AppliedAt()})
 	}
-	return 0, false, nil
+	return out, nil
 }
-
-// ErrUnknown marks an Apply that may have taken effect.
-var ErrUnknown = errors.New("outcome unknown")
