--- a/instance/callers.go
+++ b/instance/callers.go
@@ -85,7 +85,14 @@
 }
 
 // admit applies the limits of a workspace.
-func (i *Instance) admit(id.Workspace, id.Tokens) *answer.Failure { return nil }
-
-// used corrects the limits of a workspace by what a request really used.
-func (i *Instance) used(id.Workspace, id.Tokens, id.Tokens) {}
+func (i *Instance) admit(ctx context.Context, workspace id.Workspace, tokens id.Tokens) *answer.Failure {
+	retryAfter, admitted := i.limits.Admit(ctx, workspace, tokens)
+	if admitted {
+		return nil
+	}
+	return &answer.Failure{
+		Reason:     answer.ReasonRateLimited,
+		Message:    "the workspace is over its limit of requests or tokens",
+		RetryAfter: retryAfter,
+	}
+}
--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
+	"samphirehead/coordination/claim"
 	"samphirehead/coordination/queue"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
@@ -39,7 +40,7 @@
 	if failure != nil {
 		return nothing.End(*failure), caller.ServiceAnswer{}
 	}
-	if f := e.Admit(in.Workspace, 0); f != nil {
+	if f := e.Admit(ctx, in.Workspace, 0); f != nil {
 		return nothing.End(*f), caller.ServiceAnswer{}
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.need.Deadline)
@@ -47,7 +48,7 @@
 	var result answer.Result
 	var out caller.ServiceAnswer
 	if c.route.Semantics == manifest.AtMostOnce {
-		result = c.runOnce()
+		result, out = c.runOnce(ctx)
 	} else {
 		result, out = c.runRepeatable(ctx)
 	}
@@ -102,15 +103,14 @@
 		if err != nil {
 			return progress.End(refusalFailure(err)), caller.ServiceAnswer{}
 		}
-		attempt := c.entry.Services.Repeatable(ctx, c.message(grant))
-		if _, none := attempt.(service.NothingSent); !none {
+		evidence := c.entry.Services.Repeatable(ctx, c.message(grant))
+		if _, none := evidence.(claim.NothingSent); !none {
 			progress.MayHaveSent()
 		}
-		c.release(ctx, grant, attempt)
-		if answered, ok := attempt.(service.Answered); ok {
+		c.release(ctx, grant, evidence)
+		if answered, ok := evidence.(claim.Answered); ok {
 			return answer.Completed{}, serviceAnswer(answered.Answer)
 		}
-		c.log(grant, attempt)
 		if ctx.Err() != nil {
 			return progress.End(contextFailure(context.Cause(ctx))), caller.ServiceAnswer{}
 		}
@@ -121,20 +121,9 @@
 	}
 }
 
-func (c *serviceCall) log(grant *dispatch.Grant, attempt service.Attempt) {
+func (c *serviceCall) logFailure(grant *dispatch.Grant, err error) {
 	klog.V(1).InfoS("attempt failed", "request", c.in.Request, "workspace", c.in.Workspace, "class", c.class.Name,
-		"upstream", grant.Upstream.Name, "err", attemptError(attempt))
-}
-
-func attemptError(a service.Attempt) error {
-	switch a := a.(type) {
-	case service.NothingSent:
-		return a.Err
-	case service.MayHaveSent:
-		return a.Err
-	default:
-		return nil
-	}
+		"upstream", grant.Upstream.Name, "err", err)
 }
 
 // message is the call as a worker gets it.
@@ -157,31 +146,28 @@
 	}
 }
 
-func (c *serviceCall) release(ctx context.Context, grant *dispatch.Grant, a service.Attempt) {
-	c.entry.Dispatcher.Release(grant, dispatch.Ending{Outcome: callOutcome(ctx, a)})
-}
-
-func callOutcome(ctx context.Context, a service.Attempt) queue.Outcome {
-	switch a := a.(type) {
-	case service.Answered:
-		if a.Answer.Status >= http.StatusInternalServerError {
-			return queue.Failed
-		}
-		return queue.Completed
-	case service.NothingSent:
-		if ctx.Err() != nil {
-			return queue.Cancelled
-		}
-		return queue.Unreachable
-	default:
-		if ctx.Err() != nil {
-			return queue.Cancelled
+// release gives a slot back after an attempt.
+func (c *serviceCall) release(ctx context.Context, grant *dispatch.Grant, evidence claim.Evidence) {
+	outcome := queue.Completed
+	switch e := evidence.(type) {
+	case claim.Answered:
+		if e.Answer.Status >= http.StatusInternalServerError {
+			outcome = queue.Failed
 		}
-		return queue.Crashed
+	case claim.NothingSent:
+		c.logFailure(grant, e.Err)
+		outcome = queue.Unreachable
+	case claim.MayHaveSent:
+		c.logFailure(grant, e.Err)
+		outcome = queue.Crashed
+	}
+	if outcome != queue.Completed && ctx.Err() != nil {
+		outcome = queue.Cancelled
 	}
+	c.entry.Dispatcher.Release(grant, dispatch.Ending{Outcome: outcome})
 }
 
-func serviceAnswer(a service.Answer) caller.ServiceAnswer {
+func serviceAnswer(a claim.Answer) caller.ServiceAnswer {
 	return caller.ServiceAnswer{Status: a.Status, Header: a.Header, Body: a.Body}
 }
 
@@ -198,15 +184,3 @@
 		FirstToken: first,
 	})
 }
-
-// runOnce runs a call at most once.
-func (c *serviceCall) runOnce() answer.Result {
-	var progress answer.Progress
-	return progress.End(answer.Failure{Reason: answer.ReasonPlatformDown, Message: "calls that run at most once are not served"})
-}
-
-// Outcome tells again how an at-most-once call ended.
-func (e *Entry) Outcome(context.Context, caller.ServiceCall) (answer.Result, caller.ServiceAnswer) {
-	var progress answer.Progress
-	return progress.End(answer.Failure{Reason: answer.ReasonNotFound, Message: "no such outcome"}), caller.ServiceAnswer{}
-}
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"samphirehead/coordination/queue"
+	"samphirehead/instance/atmostonce"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
 	"samphirehead/state/id"
@@ -26,7 +27,7 @@
 )
 
 // Admission decides before a request is queued; nil admits.
-type Admission func(workspace id.Workspace, tokens id.Tokens) *answer.Failure
+type Admission func(ctx context.Context, workspace id.Workspace, tokens id.Tokens) *answer.Failure
 
 // Entry serves requests over a Dispatcher. Exported fields are set before the
 // first request.
@@ -34,7 +35,9 @@
 	Dispatcher dispatch.Dispatcher
 	Engines    *engine.Client
 	Services   *service.Client
-	Metrics    *metrics.Registry
+	// Calls runs the calls that run at most once.
+	Calls   *atmostonce.Calls
+	Metrics *metrics.Registry
 	// Index is the manifest in force.
 	Index func() *manifest.Index
 	// Admit applies the workspace's limits.
--- a/instance/entry/generate.go
+++ b/instance/entry/generate.go
@@ -67,7 +67,7 @@
 		return nothing.End(*c.failure)
 	}
 	admitted := in.Chat.PromptTokens
-	if f := e.Admit(in.Workspace, admitted); f != nil {
+	if f := e.Admit(ctx, in.Workspace, admitted); f != nil {
 		return nothing.End(*f)
 	}
 	g := &generation{entry: e, in: in, class: c.class, sink: sink, queueWait: -1, firstToken: -1}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,9 +16,11 @@
 	"samphirehead/coordination/member"
 	"samphirehead/coordination/queue"
 	"samphirehead/coordination/suspect"
+	"samphirehead/instance/atmostonce"
 	"samphirehead/instance/dispatch"
 	"samphirehead/instance/entry"
 	"samphirehead/instance/homes"
+	"samphirehead/instance/limits"
 	"samphirehead/instance/manifests"
 	"samphirehead/instance/members"
 	"samphirehead/instance/reserve"
@@ -59,6 +61,7 @@
 	manifests   *manifests.Manifests
 	home        *homes.Home
 	reserver    *reserve.Client
+	limits      *limits.Limits
 	entry       *entry.Entry
 	leaving     leaving
 
@@ -130,6 +133,13 @@
 	i.buildMembers()
 	i.buildManifests()
 	i.buildHome()
+	i.limits = &limits.Limits{
+		Self:    i.Settings.Instance,
+		Members: i.members.Records,
+		Remote:  i.clients.Limit,
+		Stamp:   i.stamp,
+		Seen:    i.seen,
+	}
 	i.buildEntry()
 }
 
@@ -158,10 +168,11 @@
 		Dispatcher: i.reserver,
 		Engines:    i.engines,
 		Services:   i.services,
+		Calls:      &atmostonce.Calls{Table: i.platform, Instance: i.Settings.Instance},
 		Metrics:    &i.registry,
 		Index:      i.Index,
 		Admit:      i.admit,
-		Used:       i.used,
+		Used:       i.limits.Used,
 		Crashed:    i.crashed,
 	}
 	if i.Baseline != nil {
@@ -218,6 +229,7 @@
 		{"manifests", i.manifests.Run},
 		{"home", i.home.Run},
 		{"reservations", i.reserver.Run},
+		{"limits", i.limits.Run},
 		{"load reports", i.readReports},
 		{"reconfiguration", i.watch},
 		{"calls in the background", i.runBackground},
@@ -276,6 +288,7 @@
 		Entry:   &reserve.Server{Client: i.reserver},
 		Member:  i.members,
 		Control: (*controlServer)(i),
+		Limit:   i.limits,
 	}))
 }
 
--- a/instance/reconfigure.go
+++ b/instance/reconfigure.go
@@ -25,6 +25,8 @@
 		Index:     index,
 		Addresses: peerAddresses(records),
 	})
+	i.limits.Configure(index.Manifest.Workspaces)
+	i.platform.SetInstances(len(i.members.Live()))
 	i.loseHolders(records)
 }
 
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -20,6 +20,9 @@
 	HeaderManifestVersion = "X-Samphirehead-Manifest-Version"
 	HeaderRequestID       = "X-Request-Id"
 	HeaderIdempotencyKey  = "Idempotency-Key"
+	// HeaderRepeat is "true" on a call whose key may have been sent before
+	// without a known outcome.
+	HeaderRepeat = "X-Samphirehead-Repeat"
 )
 
 // Generation is a checked request for a chat completion.
@@ -47,9 +50,11 @@
 	Path           string
 	Query          string
 	IdempotencyKey string
-	Header         http.Header
-	Body           []byte
-	Arrived        time.Time
+	// Repeat says that the caller may have sent the key before.
+	Repeat  bool
+	Header  http.Header
+	Body    []byte
+	Arrived time.Time
 }
 
 // ServiceAnswer is the answer of a plain service; it holds when the result is
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -28,6 +28,7 @@
 		Path:           "/" + r.PathValue("path"),
 		Query:          r.URL.RawQuery,
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Repeat:         r.Header.Get(HeaderRepeat) == "true",
 		Header:         r.Header,
 		Body:           body,
 		Arrived:        arrived,
--- a/transport/service/service.go
+++ b/transport/service/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"samphirehead/coordination/claim"
 	"samphirehead/state/fault"
 )
 
@@ -34,13 +35,6 @@
 	Body   []byte
 }
 
-// Answer is what a plain service answered.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
-}
-
 // Client calls plain services. Its zero value is ready. It is safe for
 // concurrent use.
 type Client struct {
@@ -49,22 +43,6 @@
 	single     *http.Client
 }
 
-// Attempt is the end of one attempt: Answered, NothingSent or MayHaveSent.
-type Attempt interface{ attempt() }
-
-// Answered holds a whole answer.
-type Answered struct{ Answer Answer }
-
-// NothingSent says that no byte of the call left this process.
-type NothingSent struct{ Err error }
-
-// MayHaveSent says that the call may have reached the service.
-type MayHaveSent struct{ Err error }
-
-func (Answered) attempt()    {}
-func (NothingSent) attempt() {}
-func (MayHaveSent) attempt() {}
-
 func (c *Client) init() {
 	c.repeatable = &http.Client{Transport: newTransport(false), CheckRedirect: keepRedirect}
 	c.single = &http.Client{Transport: newTransport(true), CheckRedirect: keepRedirect}
@@ -85,19 +63,19 @@
 
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Once makes an attempt that sends the call at most once.
-func (c *Client) Once(ctx context.Context, call Call) Attempt {
+// Once sends the call that a permit allows, at most once.
+func (c *Client) Once(ctx context.Context, _ *claim.Permit, call Call) claim.Evidence {
 	c.once.Do(c.init)
 	return do(ctx, c.single, call)
 }
 
 // Repeatable makes an attempt at a call that may run more than once.
-func (c *Client) Repeatable(ctx context.Context, call Call) Attempt {
+func (c *Client) Repeatable(ctx context.Context, call Call) claim.Evidence {
 	c.once.Do(c.init)
 	return do(ctx, c.repeatable, call)
 }
 
-func do(ctx context.Context, client *http.Client, call Call) Attempt {
+func do(ctx context.Context, client *http.Client, call Call) claim.Evidence {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -105,31 +83,31 @@
 	answer, err := exchange(ctx, client, call)
 	switch {
 	case err == nil:
-		return Answered{Answer: answer}
+		return claim.Answered{Answer: answer}
 	case !connected.Load():
-		return NothingSent{Err: err}
+		return claim.NothingSent{Err: err}
 	default:
-		return MayHaveSent{Err: err}
+		return claim.MayHaveSent{Err: err}
 	}
 }
 
-func exchange(ctx context.Context, client *http.Client, call Call) (Answer, error) {
+func exchange(ctx context.Context, client *http.Client, call Call) (claim.Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Target, bytes.NewReader(call.Body))
 	if err != nil {
-		return Answer{}, fault.At("make request", call.Address, err)
+		return claim.Answer{}, fault.At("make request", call.Address, err)
 	}
 	req.Header = call.Header.Clone()
 	resp, err := client.Do(req)
 	if err != nil {
-		return Answer{}, fault.At("call service", call.Address, err)
+		return claim.Answer{}, fault.At("call service", call.Address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
-		return Answer{}, fault.At("read answer", call.Address, err)
+		return claim.Answer{}, fault.At("read answer", call.Address, err)
 	}
 	if len(body) > maxAnswerBytes {
-		return Answer{}, fault.At("read answer", call.Address, errors.New("the answer is larger than 4 MiB"))
+		return claim.Answer{}, fault.At("read answer", call.Address, errors.New("the answer is larger than 4 MiB"))
 	}
-	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return claim.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
