--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+func TestLoadReadsLocalInstances(t *testing.T) {
+	t.Setenv("SAMPHIREHEAD_PEER_SECRET", "peer")
+	t.Setenv("SAMPHIREHEAD_OPERATOR_SECRET", "operator")
+	seen := map[string]bool{}
+	for n := 1; n <= 4; n++ {
+		s, err := settings.Load(fmt.Sprintf("../../config/local/entry-%d.yaml", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, value := range []string{string(s.Instance), s.CallerAddress, s.PeerAddress, s.OperatorAddress} {
+			if seen[value] {
+				t.Errorf("%s is used twice", value)
+			}
+			seen[value] = true
+		}
+	}
+}
+
 func TestLoadRefusesMissingSecret(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.yaml")
 	if err := os.WriteFile(path, []byte(minimal), 0o600); err != nil {
