queue: preempt where it helps in time, by the spread of waits

Preemption chose by loss alone and waited until the mean wait missed the target. It now prefers upstreams that give the first token in time, and starts when the spread of waits makes a miss likely.

--- a/coordination/queue/admit.go
+++ b/coordination/queue/admit.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"time"
 
 	"samphirehead/coordination/suspect"
@@ -103,17 +104,17 @@
 	full := l.class.waiting > l.class.QueueBound
 	miss := q.expectsMiss(now, w)
 	switch {
-	case !full && !miss, w.ResumeOffset > 0, l.waiting <= l.protected():
+	case !full && !miss && !q.risksMiss(now, w), w.ResumeOffset > 0, l.waiting <= l.protected():
 		return
-	case miss && q.preemptFor(now, w):
+	case (miss || q.risksMiss(now, w)) && q.preemptFor(now, w):
 		return
-	case q.displace(now, w):
+	case (full || miss) && q.displace(now, w):
 		return
 	case full && q.preemptFor(now, w):
 		return
 	case full:
 		q.refuse(now, q.surplus(l, w), RefusedQueueFull, q.retryAfter(now, l))
-	default:
+	case miss:
 		q.refuse(now, w, RefusedTarget, q.retryAfter(now, l))
 	}
 }
@@ -158,6 +159,15 @@
 	return float64(wait+w.line.pool.prefillTime(w.PromptTokens)) > missMargin*float64(left)
 }
 
+// risksMiss reports whether w, by the spread of waits, has more than a small
+// chance to miss its target.
+func (q *Queue) risksMiss(now time.Time, w *waiter) bool {
+	ahead := q.ahead(w)
+	wait, known := q.expectedWait(now, w.line, ahead+1+int(2.5*math.Sqrt(float64(ahead+1))))
+	left := w.FirstTokenBy.Sub(now) - w.line.pool.prefillTime(w.PromptTokens)
+	return known && wait > left
+}
+
 // ahead returns how many waiters are expected to be granted before w.
 func (q *Queue) ahead(w *waiter) int {
 	l := w.line
--- a/coordination/queue/preempt.go
+++ b/coordination/queue/preempt.go
@@ -77,8 +77,10 @@
 }
 
 // victim returns the running work to preempt for w; nil when there is none.
+// Upstreams that would give w its first token in time go first.
 func (q *Queue) victim(now time.Time, w *waiter) *running {
 	var best *running
+	var bestInTime bool
 	for _, u := range w.line.pool.workers {
 		r, ok := u.preemptible.first()
 		if !ok || r.line.class.Tier <= w.line.class.Tier || !u.admits(w) {
@@ -87,13 +89,26 @@
 		if u.Limit(now) < u.InFlight()-u.preempting {
 			continue
 		}
-		if best == nil || losesLess(r, best) {
-			best = r
+		inTime := !now.Add(q.delay(now, w, u)).After(w.FirstTokenBy)
+		if best == nil || q.prefers(r, inTime, best, bestInTime) {
+			best, bestInTime = r, inTime
 		}
 	}
 	return best
 }
 
+// prefers reports whether to preempt a rather than b: the lower tier, then
+// where it helps in time, then what loses less.
+func (q *Queue) prefers(a *running, aInTime bool, b *running, bInTime bool) bool {
+	if a.line.class.Tier != b.line.class.Tier {
+		return a.line.class.Tier > b.line.class.Tier
+	}
+	if aInTime != bInTime {
+		return aInTime
+	}
+	return losesLess(a, b)
+}
+
 // keepRunning gives up on a preemption that the holder did not carry out.
 func (q *Queue) keepRunning(r *running) {
 	r.preempting = false
