manifests: keep a wake-up that another event overtakes

A due wake-up was forgotten when an event was ready at the same moment, so that a retry or poll could be lost; TestApplySpreadsByStampPollAndPeer failed now and then for it.

--- a/instance/atmostonce/calls.go
+++ b/instance/atmostonce/calls.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -226,12 +227,7 @@
 	return wait
 }
 
+// dropWakes forgets the times that have come.
 func (r *run) dropWakes(now time.Time) {
-	kept := r.wakes[:0]
-	for _, w := range r.wakes {
-		if w.After(now) {
-			kept = append(kept, w)
-		}
-	}
-	r.wakes = kept
+	r.wakes = slices.DeleteFunc(r.wakes, func(w time.Time) bool { return !w.After(now) })
 }
--- a/instance/manifests/manifests.go
+++ b/instance/manifests/manifests.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,6 +78,7 @@
 		case <-m.handed:
 			work.carryOutAll(m.takePending())
 		case <-timer.C:
+			work.dropWakes(time.Now())
 			work.step(rollout.Ticked{})
 		}
 	}
@@ -249,20 +251,19 @@
 	return rollout.Fetched{Version: version, YAML: yaml}
 }
 
-// untilWake drops the times that have passed.
 func (f *follower) untilWake(now time.Time) time.Duration {
 	wait := time.Hour
-	kept := f.wakes[:0]
 	for _, w := range f.wakes {
 		wait = min(wait, max(0, w.Sub(now)))
-		if w.After(now) {
-			kept = append(kept, w)
-		}
 	}
-	f.wakes = kept
 	return wait
 }
 
+// dropWakes forgets the times that have come.
+func (f *follower) dropWakes(now time.Time) {
+	f.wakes = slices.DeleteFunc(f.wakes, func(w time.Time) bool { return !w.After(now) })
+}
+
 // Revision is one accepted version in the history.
 type Revision struct {
 	Version   id.ManifestVersion
