--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -35,12 +35,15 @@
 		}
 		sent++
 		r.sent.Add(1)
-		go func() { results <- r.Caller.Send(ctx, j) }()
+		go func() {
+			record := r.Caller.Send(ctx, j)
+			r.ended.Add(1)
+			results <- record
+		}()
 	}
 	records := make([]*Record, 0, sent)
 	for range sent {
 		records = append(records, <-results)
-		r.ended.Add(1)
 	}
 	r.Caller.http.CloseIdleConnections()
 	return records
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -25,8 +25,8 @@
 func Policies() []Policy { return []Policy{Samphirehead, RoundRobin, LeastOutstanding} }
 
 // NewInstance makes an instance that follows the policy.
-func (p Policy) NewInstance(s settings.Settings, faults func(http.RoundTripper) http.RoundTripper) cluster.Instance {
-	i := &instance.Instance{Settings: &s, PeerFaults: faults}
+func (p Policy) NewInstance(s settings.Settings, peerFaults func(http.RoundTripper) http.RoundTripper) cluster.Instance {
+	i := &instance.Instance{Settings: &s, PeerFaults: peerFaults}
 	if p != Samphirehead {
 		i.Baseline = func(index func() *manifest.Index) dispatch.Dispatcher {
 			return &baseline.Dispatcher{Choice: baseline.Choice(p), Index: index}
