suspect: count equal requests that one crash has lost as one crash

Entries tell of a crash one by one. Two equal requests lost together came as two records and would have quarantined an innocent fingerprint. Records of one upstream within 400 ms, less than its shortest ejection, now count once. The queue takes records as an event, refuses at once what they quarantine, and never grants a quarantined request that already waited.

--- a/coordination/queue/event.go
+++ b/coordination/queue/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"samphirehead/coordination/suspect"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
 )
@@ -133,6 +134,9 @@
 	Gap bool
 }
 
+// Heard is what other instances tell of crashes.
+type Heard struct{ Records []suspect.Record }
+
 // HolderLost reports that an instance has died with all it held.
 type HolderLost struct{ Instance id.Instance }
 
@@ -147,5 +151,6 @@
 func (Released) event()   {}
 func (Reported) event()   {}
 func (Cached) event()     {}
+func (Heard) event()      {}
 func (HolderLost) event() {}
 func (Ticked) event()     {}
--- a/coordination/queue/gate.go
+++ b/coordination/queue/gate.go
@@ -102,6 +102,14 @@
 	}
 }
 
+// hear takes crash records of other instances over; what they quarantine and
+// waits here is refused.
+func (q *Queue) hear(now time.Time, ev Heard) {
+	if q.Suspects != nil {
+		q.track(now, suspect.Heard{Records: ev.Records})
+	}
+}
+
 func (q *Queue) refuseAll(now time.Time, f id.Fingerprint) {
 	for _, w := range q.sortedWaiters() {
 		if w.Fingerprint == f {
@@ -120,10 +128,13 @@
 	if q.Suspects == nil || w.Fingerprint == 0 {
 		return true
 	}
-	unproven := q.copyLimit(now, w.Fingerprint) < suspect.Unlimited
-	if !unproven {
+	limit := q.copyLimit(now, w.Fingerprint)
+	if limit == suspect.Unlimited {
 		return true
 	}
+	if limit == 0 {
+		return false
+	}
 	doubtful := q.suspected(now, w.Fingerprint)
 	for _, r := range u.running {
 		if r.Fingerprint == w.Fingerprint {
--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -172,6 +172,8 @@
 		q.report(now, ev)
 	case Cached:
 		q.cache(ev)
+	case Heard:
+		q.hear(now, ev)
 	case HolderLost:
 		q.loseHolder(now, ev.Instance)
 	case Ticked:
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -19,6 +19,8 @@
 
 	defaultLifetime = 30 * time.Minute
 	defaultLimit    = 8192
+	// sameCrashWindow is shorter than the shortest ejection of an upstream.
+	sameCrashWindow = 400 * time.Millisecond
 	// Unlimited is the copies that a proven fingerprint may have.
 	Unlimited = 1 << 30
 )
@@ -206,7 +208,7 @@
 	old, _ := t.suspects.Get(f)
 	records := t.fresh(now, old)
 	for _, known := range records {
-		if known.Upstream == r.Upstream && known.Request == r.Request {
+		if sameCrash(known, r) {
 			return nil
 		}
 	}
@@ -220,6 +222,16 @@
 	return []Effect{QuarantineBegan{f}}
 }
 
+// sameCrash reports whether two records tell of one crash: of the same request,
+// or of equal requests that the upstream lost together. An upstream gets no work
+// for longer than sameCrashWindow after a crash.
+func sameCrash(a, b Record) bool {
+	if a.Upstream != b.Upstream {
+		return false
+	}
+	return a.Request == b.Request || a.At.Sub(b.At).Abs() < sameCrashWindow
+}
+
 func (t *Tracker) completed(now time.Time, f id.Fingerprint) {
 	if f == 0 || t.crashes(now, f) >= CrashLimit {
 		return
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -43,6 +43,12 @@
 			[]suspect.Event{heard(record("e0", 0)), heard(record("e0", 0))}, 0, suspect.Suspected, suspect.Clear, 1},
 		"hearsay of one's own crash": {
 			[]suspect.Event{crash("e0", bad), heard(record("e0", 0))}, 0, suspect.Suspected, suspect.Clear, 1},
+		"equal requests lost together, told one by one": {
+			[]suspect.Event{crash("e0", bad), heard(suspect.Record{Fingerprint: 1, Upstream: "e0", Request: "q7", At: start.Add(20 * time.Millisecond)})},
+			0, suspect.Suspected, suspect.Clear, 1},
+		"hearsay of another crash of the same upstream": {
+			[]suspect.Event{crash("e0", bad), heard(suspect.Record{Fingerprint: 1, Upstream: "e0", Request: "q7", At: start.Add(time.Second)})},
+			0, suspect.Quarantined, suspect.Clear, 0},
 		"hearsay of another crash": {
 			[]suspect.Event{crash("e0", bad), heard(record("e1", 0))}, 0, suspect.Quarantined, suspect.Clear, 0},
 		"hearsay from before a completion": {
