--- a/coordination/queue/faults_test.go
+++ b/coordination/queue/faults_test.go
@@ -250,3 +250,16 @@
 		{0, released("r2", 256), []queue.Effect{grant("r3", "e0")}},
 	})
 }
+
+func TestKVMemoryGrowsWithAnAnswer(t *testing.T) {
+	q := &queue.Queue{WithoutEstimates: true}
+	u := engine("e0", 8)
+	u.Capacity.KVTokens = 2000
+	runSteps(t, q, []step{
+		{0, one(u), nil},
+		{0, request(1, "quick", "w"), []queue.Effect{grant("r1", "e0")}},
+		{0, queue.Progressed{Reservation: "r1", Tokens: 800}, nil},
+		{0, request(2, "quick", "w"), nil},
+		{0, released("r1", 900), []queue.Effect{grant("r2", "e0")}},
+	})
+}
--- a/coordination/queue/running.go
+++ b/coordination/queue/running.go
@@ -101,7 +101,8 @@
 		r.charged += more
 		r.line.charge(r.Workspace, float64(more))
 	}
-	if more := r.PromptTokens + tokens - r.need; more > 0 {
+	if r.PromptTokens+tokens > r.need {
+		more := r.PromptTokens + 2*tokens - r.need
 		r.need += more
 		u.Grow(more)
 	}
