members: bound memory and processor time at 2,800 members

Pages of records that a starting instance fetches are not spread again as news, and idle connections close after 10 s rather than 2 min, as probes at 2,800 members would leave 600 open. Benchmarks measure membership a node over loopback and the cost of peer calls.

--- a/coordination/home/place.go
+++ b/coordination/home/place.go
@@ -25,15 +25,15 @@
 // It returns "" when no member can own. Every caller with the same members
 // gets the same answer, whatever their order.
 func Owner(upstream id.Upstream, domain id.FailureDomain, members []member.Record) id.Instance {
-	return newRanking(members).owner(upstream, domain)
+	return NewRanking(members).Owner(string(upstream), domain)
 }
 
 // Owned returns the upstreams whose home is self, in the given order.
 func Owned(self id.Instance, upstreams []Upstream, members []member.Record) []Upstream {
-	ranking := newRanking(members)
+	ranking := NewRanking(members)
 	var owned []Upstream
 	for _, u := range upstreams {
-		if ranking.owner(u.Name, u.FailureDomain) == self {
+		if ranking.Owner(string(u.Name), u.FailureDomain) == self {
 			owned = append(owned, u)
 		}
 	}
@@ -61,14 +61,14 @@
 
 // Place computes the homes of all upstreams.
 func Place(upstreams []Upstream, members []member.Record) Placement {
-	ranking := newRanking(members)
+	ranking := NewRanking(members)
 	placement := Placement{
 		Owners: make(map[id.Upstream]id.Instance, len(upstreams)),
 		Pools:  map[id.Pool][]PoolHome{},
 	}
 	slots := map[id.Pool]map[id.Instance]int{}
 	for _, u := range upstreams {
-		owner := ranking.owner(u.Name, u.FailureDomain)
+		owner := ranking.Owner(string(u.Name), u.FailureDomain)
 		if owner == "" {
 			continue
 		}
@@ -115,8 +115,9 @@
 	return homes
 }
 
-// ranking holds the hash of each member that can own, by failure domain.
-type ranking struct {
+// Ranking answers many questions for owners over the same members. It is
+// immutable.
+type Ranking struct {
 	all     []hashed
 	domains map[id.FailureDomain][]hashed
 }
@@ -126,8 +127,9 @@
 	hash     uint64
 }
 
-func newRanking(members []member.Record) ranking {
-	r := ranking{domains: map[id.FailureDomain][]hashed{}}
+// NewRanking hashes the members that can own.
+func NewRanking(members []member.Record) Ranking {
+	r := Ranking{domains: map[id.FailureDomain][]hashed{}}
 	for _, m := range members {
 		if !m.CanOwn() {
 			continue
@@ -139,12 +141,14 @@
 	return r
 }
 
-func (r ranking) owner(upstream id.Upstream, domain id.FailureDomain) id.Instance {
+// Owner returns the owner of key: the member with the highest rendezvous hash
+// among those of the failure domain if it has any, or "" without members.
+func (r Ranking) Owner(key string, domain id.FailureDomain) id.Instance {
 	candidates := r.domains[domain]
 	if len(candidates) == 0 {
 		candidates = r.all
 	}
-	return highest(xxhash.Sum64String(string(upstream)), candidates)
+	return highest(xxhash.Sum64String(key), candidates)
 }
 
 func highest(key uint64, candidates []hashed) id.Instance {
--- a/coordination/limit/limit.go
+++ b/coordination/limit/limit.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"samphirehead/coordination/home"
-	"samphirehead/coordination/member"
 	"samphirehead/state/id"
 )
 
@@ -29,8 +28,8 @@
 }
 
 // HomeOf returns the limit home of a workspace, or "" when no member can own.
-func HomeOf(workspace id.Workspace, members []member.Record) id.Instance {
-	return home.Owner(id.Upstream("workspace:"+workspace), "", members)
+func HomeOf(workspace id.Workspace, members home.Ranking) id.Instance {
+	return members.Owner("workspace:"+string(workspace), "")
 }
 
 // Limited reports whether the rate limits anything.
--- /dev/null
+++ b/coordination/member/benchmark_test.go
@@ -0,0 +1,97 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/member"
+	"samphirehead/state/id"
+)
+
+var sizes = []int{4, 64, 2800}
+
+// known returns a machine that knows n instances, with no news to spread.
+func known(n int) *member.Machine {
+	m := &member.Machine{
+		Self:   member.Record{Instance: "self", Incarnation: 1, State: member.Alive, Manifest: 1},
+		Random: rand.New(rand.NewPCG(1, 1)),
+	}
+	now := time.Unix(1000, 0)
+	for i := range n - 1 {
+		name := fmt.Sprintf("entry-%05d", i)
+		r := member.Record{
+			Instance: id.Instance(name), Incarnation: 1, State: member.Alive, Manifest: 1,
+			FailureDomain: "doto-a", Region: "doto", CallerAddress: name + ":1", PeerAddress: name + ":2",
+		}
+		m.Step(now, member.ProbeAnswered{Page: []member.Record{r}})
+	}
+	return m
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			m := known(n)
+			now := time.Unix(1000, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(member.TickInterval)
+				for _, effect := range m.Step(now, member.Ticked{}) {
+					if p, ok := effect.(member.Probe); ok {
+						m.Step(now, member.ProbeAnswered{Number: p.Number, From: p.To, Reached: true})
+					}
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkHeard(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			m := known(n)
+			now := time.Unix(1000, 0)
+			records := m.Records()[:min(n, member.MaxRecords)]
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Step(now, member.Heard{From: records[0].Instance, Records: records})
+			}
+		})
+	}
+}
+
+func BenchmarkRecords(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			m := known(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Records()
+			}
+		})
+	}
+}
+
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				m := known(n)
+				b.ReportMetric(float64(heapBytes()-before)/1024, "heap-KB")
+				runtime.KeepAlive(m)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/coordination/member/gossip.go
+++ b/coordination/member/gossip.go
@@ -25,6 +25,9 @@
 
 // announce queues a changed record.
 func (m *Machine) announce(instance id.Instance) {
+	if m.quiet && instance != m.Self.Instance {
+		return
+	}
 	m.spread[instance] = spreadFactor * bits.Len(uint(len(m.names)+1))
 }
 
@@ -164,6 +167,13 @@
 	return n
 }
 
+// mergePage takes in what others have known before, and spreads none of it.
+func (m *Machine) mergePage(now time.Time, page []Record) {
+	m.quiet = true
+	m.mergeAll(now, page)
+	m.quiet = false
+}
+
 func (m *Machine) mergeAll(now time.Time, records []Record) {
 	for _, r := range records {
 		m.merge(now, r)
--- a/coordination/member/machine.go
+++ b/coordination/member/machine.go
@@ -70,7 +70,9 @@
 	probes     map[ProbeNumber]probe
 	lastNumber ProbeNumber
 	// spread counts the messages that are still to carry a changed record.
-	spread   map[id.Instance]int
+	spread map[id.Instance]int
+	// quiet is set while records are taken in that are no news to others.
+	quiet    bool
 	lastTick time.Time
 	nextTurn time.Time
 	turn     int
@@ -154,6 +156,9 @@
 	return records
 }
 
+// Known returns the number of known instances, this one included.
+func (m *Machine) Known() int { return len(m.names) + 1 }
+
 // Lookup returns what is known of an instance, dead or not.
 func (m *Machine) Lookup(instance id.Instance) (Record, bool) {
 	if instance == m.Self.Instance {
--- a/coordination/member/probe.go
+++ b/coordination/member/probe.go
@@ -133,7 +133,7 @@
 
 func (m *Machine) answered(now time.Time, ev ProbeAnswered) {
 	m.mergeAll(now, ev.Records)
-	m.mergeAll(now, ev.Page)
+	m.mergePage(now, ev.Page)
 	pr, p, ok := m.take(ev.Number)
 	switch {
 	case !ok:
--- a/instance/limits/limits.go
+++ b/instance/limits/limits.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"samphirehead/coordination/home"
 	"samphirehead/coordination/limit"
 	"samphirehead/coordination/member"
 	"samphirehead/protocol/peer"
@@ -47,6 +48,9 @@
 	lender   limit.Lender
 	borrower limit.Borrower
 	rates    map[id.Workspace]limit.Amount
+	// ranking and addresses are those of the members at the last pass.
+	ranking   home.Ranking
+	addresses map[id.Instance]string
 	// waiting holds, for each workspace with a loan in flight, what is closed
 	// when the loan ends.
 	waiting map[id.Workspace]chan struct{}
@@ -98,34 +102,47 @@
 			rates[w.Name] = rate
 		}
 	}
-	owners := l.owners()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.rates = rates
-	now := time.Now()
-	l.lender.Step(now, limit.RatesSet{Rates: rates})
-	l.borrower.Step(now, limit.Configured{Rates: rates, Members: owners})
+	l.lender.Step(time.Now(), limit.RatesSet{Rates: rates})
+	l.mu.Unlock()
+	l.takeMembers()
 }
 
-// pass lets time pass and takes in the number of members.
+// pass lets time pass.
 func (l *Limits) pass() {
-	owners := l.owners()
+	l.takeMembers()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.lender.Step(now, limit.Ticked{})
 	l.borrower.Step(now, limit.Passed{})
-	l.borrower.Step(now, limit.Configured{Rates: l.rates, Members: owners})
 }
 
-func (l *Limits) owners() int {
-	n := 0
-	for _, r := range l.Members() {
+// takeMembers takes in the members of the moment.
+func (l *Limits) takeMembers() {
+	members := l.Members()
+	ranking := home.NewRanking(members)
+	addresses := make(map[id.Instance]string, len(members))
+	owners := 0
+	for _, r := range members {
+		addresses[r.Instance] = r.PeerAddress
 		if r.CanOwn() {
-			n++
+			owners++
 		}
 	}
-	return n
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ranking, l.addresses = ranking, addresses
+	l.borrower.Step(time.Now(), limit.Configured{Rates: l.rates, Members: owners})
+}
+
+// homeOf returns the limit home of a workspace and its address.
+func (l *Limits) homeOf(workspace id.Workspace) (id.Instance, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	instance := limit.HomeOf(workspace, l.ranking)
+	return instance, l.addresses[instance]
 }
 
 // Admit reports whether a request with an estimate of its tokens is within
@@ -199,11 +216,11 @@
 
 // borrow asks the limit home and returns how that ended.
 func (l *Limits) borrow(ctx context.Context, b limit.Borrow) limit.BorrowerEvent {
-	at := limit.HomeOf(b.Workspace, l.Members())
+	at, address := l.homeOf(b.Workspace)
 	if at == l.Self {
 		return limit.Lent(l.lend(limit.Asked(b)))
 	}
-	granted, err := l.borrowAt(ctx, at, b)
+	granted, err := l.borrowAt(ctx, at, address, b)
 	if err != nil {
 		klog.V(2).InfoS("no loan", "workspace", b.Workspace, "home", at, "err", err)
 		return limit.Failed{Workspace: b.Workspace}
@@ -211,8 +228,7 @@
 	return limit.Lent(granted)
 }
 
-func (l *Limits) borrowAt(ctx context.Context, at id.Instance, b limit.Borrow) (limit.Granted, error) {
-	address := l.address(at)
+func (l *Limits) borrowAt(ctx context.Context, at id.Instance, address string, b limit.Borrow) (limit.Granted, error) {
 	if address == "" {
 		return limit.Granted{}, fault.New("borrow", string(at), "no limit home")
 	}
@@ -229,15 +245,6 @@
 	return response.Credits[0].Granted(), nil
 }
 
-func (l *Limits) address(instance id.Instance) string {
-	for _, r := range l.Members() {
-		if r.Instance == instance {
-			return r.PeerAddress
-		}
-	}
-	return ""
-}
-
 // Borrow lends to another instance.
 func (l *Limits) Borrow(_ context.Context, r *peer.BorrowRequest) (*peer.BorrowResponse, error) {
 	l.Seen(r.Stamp)
--- /dev/null
+++ b/instance/members/cost_test.go
@@ -0,0 +1,253 @@
+package members_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"samphirehead/coordination/member"
+	"samphirehead/instance/members"
+	wire "samphirehead/protocol/peer"
+	"samphirehead/state/id"
+	"samphirehead/transport/peer"
+)
+
+const (
+	measureTime = 10 * time.Second
+	// settleTime lets the news of the start go round.
+	settleTime    = 60 * time.Second
+	fewSettleTime = 5 * time.Second
+	fewMembers    = 4
+)
+
+// fabric connects instances and counts what passes.
+type fabric struct {
+	bytes       atomic.Int64
+	messages    atomic.Int64
+	connections atomic.Int64
+	direct      map[string]*members.Members
+}
+
+// BenchmarkMembership measures what membership costs a node, with summaries
+// of six pools in each message. "loopback" uses the real transport; "codec"
+// encodes and decodes messages without one, so that more instances fit.
+func BenchmarkMembership(b *testing.B) {
+	for _, c := range []struct {
+		transport string
+		n         int
+	}{{"loopback", 4}, {"loopback", 64}, {"codec", 4}, {"codec", 64}, {"codec", 256}} {
+		b.Run(fmt.Sprintf("%s/members=%d", c.transport, c.n), func(b *testing.B) {
+			for b.Loop() {
+				measure(b, c.n, c.transport == "loopback")
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, n int, loopback bool) {
+	b.Helper()
+	f := &fabric{direct: map[string]*members.Members{}}
+	stop := f.start(b, n, loopback)
+	if n == fewMembers {
+		time.Sleep(fewSettleTime)
+	} else {
+		time.Sleep(settleTime)
+	}
+	bytes, messages, cpu := f.bytes.Load(), f.messages.Load(), processorTime(b)
+	time.Sleep(measureTime)
+	perNode := float64(n) * measureTime.Seconds()
+	b.ReportMetric(float64(f.bytes.Load()-bytes)/perNode, "bytes/s/node")
+	b.ReportMetric(float64(f.messages.Load()-messages)/perNode, "messages/s/node")
+	b.ReportMetric(float64((processorTime(b)-cpu).Microseconds())/perNode, "cpu-us/s/node")
+	b.ReportMetric(heapKB()/float64(n), "heap-KB/node")
+	b.ReportMetric(float64(f.connections.Load())/float64(n), "connections/node")
+	b.ReportMetric(0, "ns/op")
+	stop()
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var use syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+func heapKB() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse+stats.StackInuse) / 1024
+}
+
+// start runs n instances and returns what stops them.
+func (f *fabric) start(b *testing.B, n int, loopback bool) (stop func()) {
+	b.Helper()
+	listeners := make([]net.Listener, n)
+	list := make([]member.Record, n)
+	for i := range n {
+		address := fmt.Sprint("10.0.0.1:", 10000+i)
+		if loopback {
+			l, err := new(net.ListenConfig).Listen(b.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			listeners[i] = &countingListener{Listener: l, fabric: f}
+			address = l.Addr().String()
+		}
+		list[i] = member.Record{
+			Instance: id.Instance(fmt.Sprintf("entry-%05d", i)), PeerAddress: address, CallerAddress: address,
+			FailureDomain: id.FailureDomain(fmt.Sprint("doto-", i%16)), Region: "doto",
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2*n)
+	var servers []*http.Server
+	for i := range n {
+		clients := &peer.Clients{Secret: "0123456789abcdef0123456789abcdef", Wrap: f.count}
+		m := f.instance(list, i)
+		f.direct[list[i].PeerAddress] = m
+		if loopback {
+			server := peer.NewServer(peer.Handler(clients.Secret, peer.Services{Member: m}))
+			servers = append(servers, server)
+			go func() { done <- server.Serve(listeners[i]) }()
+			m.Remote = clients.Member
+		}
+	}
+	for _, m := range f.direct {
+		go func() { done <- m.Run(ctx) }()
+	}
+	return func() {
+		cancel()
+		for range n {
+			if err := <-done; err != nil && !errors.Is(err, http.ErrServerClosed) {
+				b.Error(err)
+			}
+		}
+		for _, s := range servers {
+			_ = s.Close()
+			if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+				b.Error(err)
+			}
+		}
+	}
+}
+
+func (f *fabric) instance(list []member.Record, i int) *members.Members {
+	self := list[i]
+	self.Incarnation, self.State, self.Manifest = 1, member.Alive, 1
+	summary := &wire.Summary{Instance: string(self.Instance), Incarnation: 1}
+	for p := range 6 {
+		summary.Pools = append(summary.Pools, &wire.PoolSummary{
+			Pool: fmt.Sprint("model:moss-", p), FreeSlots: 20, Slots: 64, WaitUs: []int64{10000, 100000, 1000000, 10000000},
+		})
+	}
+	return &members.Members{
+		Machine:  &member.Machine{Self: self, Random: rand.New(rand.NewPCG(7, uint64(i)))},
+		Remote:   func(address string) wire.Member { return &directMember{fabric: f, to: f.direct[address]} },
+		Evidence: peer.EvidenceOf,
+		List:     func(context.Context) ([]member.Record, error) { return list, nil },
+		Stamp: func() *wire.Stamp {
+			return &wire.Stamp{Instance: string(self.Instance), Incarnation: 1 << 60, ManifestVersion: 100000}
+		},
+		Seen:        func(*wire.Stamp) {},
+		Summary:     func() *wire.Summary { return summary },
+		HearSummary: func(*wire.Summary) {},
+		HearCrash:   func(member.Crash) {},
+		Manifest:    func() *wire.FetchManifestResponse { return &wire.FetchManifestResponse{} },
+	}
+}
+
+// count counts the requests of the real transport.
+func (f *fabric) count(next http.RoundTripper) http.RoundTripper {
+	return &countingTripper{fabric: f, next: next}
+}
+
+type countingTripper struct {
+	fabric *fabric
+	next   http.RoundTripper
+}
+
+func (c *countingTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.fabric.messages.Add(2)
+	return c.next.RoundTrip(r)
+}
+
+type countingListener struct {
+	net.Listener
+	fabric *fabric
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.fabric.connections.Add(1)
+	return &countingConn{Conn: c, fabric: l.fabric}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	fabric *fabric
+	closed atomic.Bool
+}
+
+func (c *countingConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.fabric.connections.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.fabric.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.fabric.bytes.Add(int64(n))
+	return n, err
+}
+
+// directMember encodes and decodes a call without a transport.
+type directMember struct {
+	wire.Member
+	fabric *fabric
+	to     *members.Members
+}
+
+func (d *directMember) Probe(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeResponse, error) {
+	request, response := &wire.ProbeRequest{}, &wire.ProbeResponse{}
+	if err := d.pass(r, request); err != nil {
+		return nil, err
+	}
+	answer, err := d.to.Probe(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return response, d.pass(answer, response)
+}
+
+func (d *directMember) pass(from, to proto.Message) error {
+	encoded, err := proto.Marshal(from)
+	if err != nil {
+		return err
+	}
+	d.fabric.bytes.Add(int64(len(encoded)))
+	d.fabric.messages.Add(1)
+	return proto.Unmarshal(encoded, to)
+}
--- a/instance/members/members.go
+++ b/instance/members/members.go
@@ -61,6 +61,9 @@
 	crashes member.Crashes
 	// probes are to be started by Run.
 	probes []member.Probe
+	// records is the last snapshot, nil after a change. It is not changed in
+	// place.
+	records []member.Record
 }
 
 func (m *Members) init() {
@@ -138,18 +141,22 @@
 	m.step(member.Listed{Members: records})
 }
 
-// Records returns this instance and all known others, dead ones too.
+// Records returns this instance and all known others, dead ones too. The
+// caller must not change the slice, which others share. Headroom in it is up
+// to a tick old; all else is current.
 func (m *Members) Records() []member.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Machine.Records()
+	if m.records == nil {
+		m.records = m.Machine.Records()
+	}
+	return m.records
 }
 
 // Live returns this instance and all others that are not dead.
 func (m *Members) Live() []member.Record {
-	records := m.Records()
-	live := records[:0]
-	for _, r := range records {
+	var live []member.Record
+	for _, r := range m.Records() {
 		if r.State != member.Dead {
 			live = append(live, r)
 		}
@@ -193,8 +200,9 @@
 // to some others at once.
 func (m *Members) Push() {
 	pushed := 0
+	self := m.Self().Instance
 	for _, r := range m.Live() {
-		if r.Instance == m.Machine.Self.Instance || pushed == pushFanout {
+		if r.Instance == self || pushed == pushFanout {
 			continue
 		}
 		pushed++
@@ -205,7 +213,7 @@
 // ReportCrash spreads the report of a crash that this instance saw.
 func (m *Members) ReportCrash(c member.Crash) {
 	m.mu.Lock()
-	isNew := m.crashes.Add(time.Now(), c, len(m.Machine.Records()))
+	isNew := m.crashes.Add(time.Now(), c, m.Machine.Known())
 	m.mu.Unlock()
 	if isNew {
 		m.Push()
@@ -228,6 +236,9 @@
 	m.mu.Lock()
 	effects := m.Machine.Step(time.Now(), ev)
 	reply, changed := m.apply(effects)
+	if _, ticked := ev.(member.Ticked); ticked || changed {
+		m.records = nil
+	}
 	probes := len(m.probes) > 0
 	m.mu.Unlock()
 	if changed {
--- a/instance/members/probe.go
+++ b/instance/members/probe.go
@@ -109,7 +109,7 @@
 
 func (m *Members) hearCrash(now time.Time, c member.Crash) {
 	m.mu.Lock()
-	isNew := m.crashes.Add(now, c, len(m.Machine.Records()))
+	isNew := m.crashes.Add(now, c, m.Machine.Known())
 	m.mu.Unlock()
 	if isNew {
 		m.HearCrash(c)
--- a/transport/peer/clients.go
+++ b/transport/peer/clients.go
@@ -24,7 +24,9 @@
 	// pingAfter and pingTimeout end waiting calls to a machine that is gone.
 	pingAfter   = 1500 * time.Millisecond
 	pingTimeout = time.Second
-	idleTimeout = 2 * time.Minute
+	// idleTimeout bounds the connections that probes leave behind where
+	// there are many members. It is longer than a round of probes at a few.
+	idleTimeout = 10 * time.Second
 	// maxConnections bounds the connections to one address when many calls
 	// start before the first connection stands.
 	maxConnections = 4
