queue: let a workspace below its share lead by a short burst

Strict turns made a workspace that uses 36 % of a full class's capacity, of a fair half, wait for a flooding one in each burst of its own: 93.12 % of its requests met their target against 99.96 % without the flood.

--- a/coordination/queue/admit.go
+++ b/coordination/queue/admit.go
@@ -171,7 +171,8 @@
 // ahead returns how many waiters are expected to be granted before w.
 func (q *Queue) ahead(w *waiter) int {
 	l := w.line
-	own := min(l.waiting-1, w.flow.waiting*l.active()-1)
+	behind := max(0, w.flow.waiting-l.turnsAhead(w.flow))
+	own := min(l.waiting-1, w.flow.waiting-1+behind*(l.active()-1))
 	for _, other := range l.pool.lines {
 		if other != l && other.class.Tier <= l.class.Tier {
 			own += other.waiting
--- a/coordination/queue/dispatch.go
+++ b/coordination/queue/dispatch.go
@@ -156,12 +156,11 @@
 		if best != nil && best.waiter.flow.tag <= f.tag {
 			continue
 		}
-		w, _ := f.lanes[from].first()
-		u := q.place(s, w, i == 0)
-		if u == nil {
+		c := q.flowCandidate(s, f, from, i == 0)
+		if c == nil {
 			continue
 		}
-		best = &candidate{waiter: w, worker: u}
+		best = c
 		if i == 0 {
 			break
 		}
@@ -169,6 +168,22 @@
 	return best
 }
 
+// flowCandidate returns the next grant of a workspace. Returned work differs in
+// the upstreams that may take it, so that more than the first is tried.
+func (q *Queue) flowCandidate(s *search, f *flow, from lane, first bool) *candidate {
+	tried := f.lanes[from].items[:1]
+	if from == returned {
+		items := f.lanes[from].items
+		tried = items[:min(len(items), candidateFlows)]
+	}
+	for i, w := range tried {
+		if u := q.place(s, w, first && i == 0); u != nil {
+			return &candidate{waiter: w, worker: u}
+		}
+	}
+	return nil
+}
+
 // place returns the upstream with a free slot where w is expected to get its
 // first token soonest; nil when none may take it. With hold set, an upstream
 // that only lacks KV memory is held for w in this search.
--- a/coordination/queue/line.go
+++ b/coordination/queue/line.go
@@ -6,9 +6,17 @@
 	"samphirehead/state/id"
 )
 
+const (
+	// burstRequests is how many requests a workspace that has used less
+	// than its share may have served ahead of the others.
+	burstRequests = 16
+	costWeight    = 0.1
+)
+
 // line is the queue of one class in one pool. Workspaces share its grants by
 // start-time fair queueing over tokens: each has a tag, which rises by the
-// tokens that it is charged; the lowest tag goes next.
+// tokens that it is charged; the lowest tag goes next. What a workspace has not
+// used of its share is kept up to a short burst, and lost beyond.
 type line struct {
 	class *class
 	pool  *pool
@@ -23,8 +31,10 @@
 	virtual float64
 	// finish is the largest tag ever set; virtual rises to it when nothing
 	// waits any more, which forgives all debts.
-	finish  float64
-	waiting int
+	finish float64
+	// meanCost is the recent mean of the tokens charged for a grant.
+	meanCost float64
+	waiting  int
 	// credit is the grants that the class is owed by its minimum share;
 	// 0 while nothing waits.
 	credit float64
@@ -62,7 +72,7 @@
 func (l *line) flow(w id.Workspace) *flow {
 	f := l.flows[w]
 	if f == nil {
-		f = newFlow(w, l.virtual)
+		f = newFlow(w, l.virtual-l.lead())
 		l.flows[w] = f
 		l.idle.push(f)
 	}
@@ -77,7 +87,7 @@
 	f.waiting++
 	if f.waiting == 1 {
 		l.idle.remove(f.idleIndex)
-		f.tag = max(f.tag, l.virtual)
+		f.tag = max(f.tag, l.virtual-l.lead())
 		l.crowded.push(f)
 	} else {
 		l.crowded.fix(f.crowdIndex)
@@ -136,6 +146,7 @@
 	l.remove(w)
 	l.virtual = max(l.virtual, start)
 	l.charge(w.Workspace, float64(w.cost))
+	l.meanCost += costWeight * (float64(w.cost) - l.meanCost)
 	if l.waiting == 0 {
 		l.virtual = max(l.virtual, l.finish)
 	}
@@ -160,11 +171,23 @@
 	}
 }
 
-// forget drops idle workspaces that have no debt left.
+// lead is the tokens by which a workspace that has used less than its share may
+// go ahead of the others: enough for a short burst of its requests.
+func (l *line) lead() float64 { return burstRequests * l.meanCost }
+
+// turnsAhead returns how many grants a workspace has before others' turn.
+func (l *line) turnsAhead(f *flow) int {
+	if l.meanCost <= 0 || f.tag >= l.virtual {
+		return 0
+	}
+	return int((l.virtual - f.tag) / l.meanCost)
+}
+
+// forget drops idle workspaces that a new one would equal.
 func (l *line) forget() {
 	for {
 		f, ok := l.idle.first()
-		if !ok || f.tag > l.virtual {
+		if !ok || f.tag > l.virtual-l.lead() {
 			return
 		}
 		l.idle.remove(0)
