rollout: use a row that is read while a fetch from a peer is under way

Cause: a row read from the platform during a fetch from a peer was dropped; where reads and fetches kept ending in that order, an instance stayed behind. Seen: TestApplySpreadsByStampPollAndPeer failed in 1 of 200 runs. Change: keep the row and fetch its object when the fetch from the peer fails.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -114,6 +114,11 @@
 	// nextFetch is when a failed fetch is tried again; zero for no retry.
 	nextFetch time.Time
 	lastHeard time.Time
+	// polledRow is the last current row that named a newer version.
+	polledRow Row
+	// failedObject was last asked for after a failed fetch. It is not asked
+	// for again before the next row.
+	failedObject string
 }
 
 // Version returns the version in force; 0 before the first.
@@ -145,7 +150,7 @@
 		return r.fetched(now, ev)
 	case FetchFailed:
 		r.fetching = false
-		return r.retry(now)
+		return r.fetchFailed(now)
 	case Ticked:
 		return r.ticked(now)
 	}
@@ -194,12 +199,23 @@
 		return r.retry(now)
 	}
 	r.lastHeard = now
-	if row.Version <= r.version || r.fetching {
+	if row.Version <= r.version {
 		return nil
 	}
 	r.known = max(r.known, row.Version)
+	r.polledRow = row
+	r.failedObject = ""
+	return r.fetchObject()
+}
+
+// fetchObject asks for the manifest of the last row read, once no other fetch
+// is under way.
+func (r *Rollout) fetchObject() []Effect {
+	if r.fetching || r.polledRow.Version <= r.version {
+		return nil
+	}
 	r.fetching = true
-	return []Effect{FetchObject{row.Version, row.Object}}
+	return []Effect{FetchObject{r.polledRow.Version, r.polledRow.Object}}
 }
 
 func (r *Rollout) fetched(now time.Time, ev Fetched) []Effect {
@@ -212,6 +228,16 @@
 	return append([]Effect{Install(ev)}, r.retry(now)...)
 }
 
+// fetchFailed takes the manifest from the platform where a row came during a
+// fetch from a peer.
+func (r *Rollout) fetchFailed(now time.Time) []Effect {
+	if r.failedObject == r.polledRow.Object {
+		return r.retry(now)
+	}
+	r.failedObject = r.polledRow.Object
+	return append(r.fetchObject(), r.retry(now)...)
+}
+
 // retry tries again soon while the instance is behind or has no version.
 func (r *Rollout) retry(now time.Time) []Effect {
 	if !r.Behind() && r.version != 0 {
