--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -161,6 +161,9 @@
 	return l.number, earlier(l.until, now.Add(l.orderBound())), true
 }
 
+// Idle reports whether the machine neither holds nor seeks the lease.
+func (l *Lease) Idle() bool { return !l.started }
+
 // Step applies ev at now and returns the effects to carry out, in order.
 func (l *Lease) Step(now time.Time, ev Event) []Effect {
 	out := l.expire(now)
--- a/instance/atmostonce/calls_test.go
+++ b/instance/atmostonce/calls_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,78 +9,10 @@
 
 	"samphirehead/coordination/claim"
 	"samphirehead/instance/atmostonce"
+	"samphirehead/instance/internal/memtable"
 	"samphirehead/state/record"
 )
 
-// memory is a table service with faults.
-type memory struct {
-	mu   sync.Mutex
-	rows map[record.Key]record.Row
-	// down refuses all calls; mute applies writes and loses the answer;
-	// hung keeps every call until its context ends.
-	down, hung bool
-	mute       int
-}
-
-func newMemory() *memory { return &memory{rows: map[record.Key]record.Row{}} }
-
-func (m *memory) set(change func()) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	change()
-}
-
-func (m *memory) fault(ctx context.Context) (down bool, err error) {
-	m.mu.Lock()
-	down, hung := m.down, m.hung
-	m.mu.Unlock()
-	if hung {
-		<-ctx.Done()
-		return false, ctx.Err()
-	}
-	return down, nil
-}
-
-func (m *memory) Write(ctx context.Context, writes []record.Write) record.WriteResult {
-	down, err := m.fault(ctx)
-	if err != nil {
-		return record.Unknown{Err: err}
-	}
-	if down {
-		return record.Refused{Err: os.ErrClosed}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	w := writes[0]
-	row := m.rows[w.Key]
-	if row.Version != w.Expected {
-		row.Key = w.Key
-		return record.Conflicted{Rows: []record.Row{row}}
-	}
-	m.rows[w.Key] = record.Row{Key: w.Key, Version: row.Version + 1, Value: w.Value}
-	if m.mute > 0 {
-		m.mute--
-		return record.Unknown{Err: os.ErrDeadlineExceeded}
-	}
-	return record.Written{Versions: []record.Version{row.Version + 1}}
-}
-
-func (m *memory) Read(ctx context.Context, keys []record.Key) ([]record.Row, error) {
-	down, err := m.fault(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if down {
-		return nil, os.ErrClosed
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if row, ok := m.rows[keys[0]]; ok {
-		return []record.Row{row}, nil
-	}
-	return nil, nil
-}
-
 // service answers after a delay and counts its runs.
 type service struct {
 	runs  atomic.Int32
@@ -112,24 +42,24 @@
 func TestOneCallUnderFaults(t *testing.T) {
 	cases := []struct {
 		name     string
-		before   func(*memory)
+		before   func(*memtable.Table)
 		evidence claim.Evidence
 		want     string
 		within   time.Duration
 		later    string
 	}{
 		{"all well", nil, nil, "completed", 0, "completed"},
-		{"store down", func(m *memory) { m.down = true }, nil, "not_run store_unavailable", 0, "completed"},
-		{"store hangs", func(m *memory) { m.hung = true }, nil, "not_run store_unavailable", time.Second, "completed"},
-		{"claim's answer lost", func(m *memory) { m.mute = 1 }, nil, "completed", 0, "completed"},
-		{"claim's and mark's answers lost", func(m *memory) { m.mute = 2 }, nil, "completed", 0, "completed"},
+		{"store down", func(m *memtable.Table) { m.Fail(memtable.Faults{Down: true}) }, nil, "not_run store_unavailable", 0, "completed"},
+		{"store hangs", func(m *memtable.Table) { m.Fail(memtable.Faults{Hung: true}) }, nil, "not_run store_unavailable", time.Second, "completed"},
+		{"claim's answer lost", func(m *memtable.Table) { m.Fail(memtable.Faults{LoseWrites: 1}) }, nil, "completed", 0, "completed"},
+		{"claim's and mark's answers lost", func(m *memtable.Table) { m.Fail(memtable.Faults{LoseWrites: 2}) }, nil, "completed", 0, "completed"},
 		{"nothing sent", nil, claim.NothingSent{}, "not_run upstream_unavailable", 0, "completed"},
 		{"answer of the service lost", nil, claim.MayHaveSent{}, "unknown", 0, "unknown"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m, s := newMemory(), &service{}
+				m, s := &memtable.Table{}, &service{}
 				if tc.before != nil {
 					tc.before(m)
 				}
@@ -145,7 +75,7 @@
 				if took := time.Since(start); took > tc.within {
 					t.Errorf("took %v of fake time, want at most %v", took, tc.within)
 				}
-				m.set(func() { m.down, m.hung = false, false })
+				m.Fail(memtable.Faults{})
 				if got := kindOf(calls.Do(t.Context(), callOf(s, 10*time.Second))); got != tc.later {
 					t.Errorf("repeat: got %s, want %s", got, tc.later)
 				}
@@ -159,7 +89,7 @@
 
 func TestDuplicatesOnFourInstancesRunOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m, s := newMemory(), &service{delay: 300 * time.Millisecond}
+		m, s := &memtable.Table{}, &service{delay: 300 * time.Millisecond}
 		outcomes := make(chan claim.Outcome)
 		for range 4 {
 			calls := &atmostonce.Calls{Table: m}
@@ -183,7 +113,7 @@
 
 func TestLateAnswerIsFoundLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m, s := newMemory(), &service{delay: 5 * time.Second}
+		m, s := &memtable.Table{}, &service{delay: 5 * time.Second}
 		calls := &atmostonce.Calls{Table: m}
 		start := time.Now()
 		if got := kindOf(calls.Do(t.Context(), callOf(s, time.Second))); got != "unknown" || time.Since(start) != time.Second {
@@ -200,11 +130,11 @@
 
 func TestOutcomeIsRecordedAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m, s := newMemory(), &service{}
+		m, s := &memtable.Table{}, &service{}
 		calls := &atmostonce.Calls{Table: m}
 		call := callOf(s, 10*time.Second)
 		call.Send = func(ctx context.Context, p *claim.Permit) claim.Evidence {
-			m.set(func() { m.down = true })
+			m.Fail(memtable.Faults{Down: true})
 			return s.send(ctx, p)
 		}
 		ctx, leave := context.WithCancel(t.Context())
@@ -213,7 +143,7 @@
 		}
 		leave()
 		time.Sleep(time.Minute)
-		m.set(func() { m.down = false })
+		m.Fail(memtable.Faults{})
 		if err := calls.Wait(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -226,7 +156,7 @@
 
 func TestCallerThatLeavesDoesNotCutTheCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m, s := newMemory(), &service{delay: time.Second}
+		m, s := &memtable.Table{}, &service{delay: time.Second}
 		calls := &atmostonce.Calls{Table: m}
 		ctx, leave := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		defer leave()
@@ -236,3 +166,27 @@
 		}
 	})
 }
+
+func TestExpiryDeletesOnlyWhatIsPastItsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, s := &memtable.Table{}, &service{}
+		calls := &atmostonce.Calls{Table: m}
+		calls.Do(t.Context(), callOf(s, time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			atmostonce.Expire(ctx, m)
+		}()
+		time.Sleep(claim.Retention - time.Hour)
+		if rows, _ := m.Read(t.Context(), []record.Key{"claims/k"}); len(rows) != 1 {
+			t.Error("a claim was deleted before its retention had passed")
+		}
+		time.Sleep(2 * time.Hour)
+		if rows, _ := m.Read(t.Context(), []record.Key{"claims/k"}); len(rows) != 0 {
+			t.Error("a claim was kept after its retention had passed")
+		}
+		cancel()
+		<-ended
+	})
+}
--- /dev/null
+++ b/instance/leases/leases.go
@@ -0,0 +1,191 @@
+// Package leases drives platform leases and the work that needs one.
+package leases
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/lease"
+	"samphirehead/state/id"
+	"samphirehead/state/record"
+)
+
+const (
+	opTimeout = time.Second
+	// releaseTimeout bounds the release of a lease at the end.
+	releaseTimeout = 2 * time.Second
+)
+
+// Table is what leases need of the platform's table service.
+type Table interface {
+	Write(ctx context.Context, writes []record.Write) record.WriteResult
+	Read(ctx context.Context, keys []record.Key) ([]record.Row, error)
+}
+
+// Lease competes for one lease and works while it is held. Its exported fields
+// are set before Run.
+type Lease struct {
+	Name  string
+	Self  id.Instance
+	Table Table
+	// Work runs while the lease is held. Its context ends when the lease is
+	// lost, and it returns soon after that. When it returns earlier, it is
+	// not started again before the next take-over.
+	Work func(ctx context.Context)
+
+	mu      sync.Mutex
+	machine *lease.Lease
+
+	events chan lease.Event
+	open   sync.WaitGroup
+	wakes  []time.Time
+	// stop ends the work; nil while none runs.
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// MayOrder reports whether an order may be sent now, its fencing number and
+// when it must be abandoned.
+func (l *Lease) MayOrder(checksFencing bool) (number id.FencingNumber, until time.Time, may bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.machine == nil {
+		return 0, time.Time{}, false
+	}
+	return l.machine.MayOrder(time.Now(), checksFencing)
+}
+
+// Run competes until ctx ends; then it stops the work and releases the lease.
+func (l *Lease) Run(ctx context.Context) error {
+	l.mu.Lock()
+	l.machine = &lease.Lease{Key: lease.NewKey(l.Name), Holder: l.Self, Life: id.Attempt(uuid.NewString())}
+	l.mu.Unlock()
+	l.events = make(chan lease.Event)
+	// The release at the end needs a context of its own.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer l.open.Wait()
+	defer cancel()
+	l.step(work, lease.Started{})
+	l.serve(ctx, work, nil)
+	l.endWork()
+	l.step(work, lease.Resigned{})
+	released := time.NewTimer(releaseTimeout)
+	defer released.Stop()
+	l.serve(context.WithoutCancel(ctx), work, released.C)
+	return nil
+}
+
+// serve feeds the machine until ctx ends or stop receives.
+func (l *Lease) serve(ctx, work context.Context, stop <-chan time.Time) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !l.idle() {
+		timer.Reset(l.untilWake(time.Now()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-stop:
+			return
+		case ev := <-l.events:
+			l.step(work, ev)
+		case <-timer.C:
+			l.dropWakes(time.Now())
+			l.step(work, lease.Ticked{})
+		}
+	}
+}
+
+func (l *Lease) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Idle()
+}
+
+func (l *Lease) step(work context.Context, ev lease.Event) {
+	l.mu.Lock()
+	effects := l.machine.Step(time.Now(), ev)
+	l.mu.Unlock()
+	for _, effect := range effects {
+		l.carryOut(work, effect)
+	}
+}
+
+func (l *Lease) carryOut(work context.Context, effect lease.Effect) {
+	switch e := effect.(type) {
+	case lease.ReadRow:
+		l.start(work, func(ctx context.Context) lease.Event { return l.read(ctx, e.Key) })
+	case lease.WriteRow:
+		l.start(work, func(ctx context.Context) lease.Event {
+			return lease.RowWritten{Result: l.Table.Write(ctx, []record.Write{e.Write})}
+		})
+	case lease.WakeAt:
+		l.wakes = append(l.wakes, e.Time)
+	case lease.Acquired:
+		klog.InfoS("lease acquired", "lease", l.Name, "number", e.Number)
+		l.startWork(work)
+	case lease.Lost:
+		klog.InfoS("lease ended", "lease", l.Name, "number", e.Number)
+		l.endWork()
+	}
+}
+
+// start runs one operation and hands its event to serve.
+func (l *Lease) start(work context.Context, operation func(context.Context) lease.Event) {
+	l.open.Go(func() {
+		ctx, cancel := context.WithTimeout(work, opTimeout)
+		defer cancel()
+		ev := operation(ctx)
+		select {
+		case l.events <- ev:
+		case <-work.Done():
+		}
+	})
+}
+
+func (l *Lease) read(ctx context.Context, key record.Key) lease.Event {
+	rows, err := l.Table.Read(ctx, []record.Key{key})
+	if err != nil {
+		return lease.RowRead{Err: err}
+	}
+	if len(rows) == 0 {
+		return lease.RowRead{}
+	}
+	return lease.RowRead{Row: rows[0]}
+}
+
+func (l *Lease) startWork(work context.Context) {
+	ctx, cancel := context.WithCancel(work)
+	done := make(chan struct{})
+	l.stop, l.done = cancel, done
+	go func() {
+		defer close(done)
+		l.Work(ctx)
+	}()
+}
+
+func (l *Lease) endWork() {
+	if l.stop == nil {
+		return
+	}
+	l.stop()
+	<-l.done
+	l.stop = nil
+}
+
+func (l *Lease) untilWake(now time.Time) time.Duration {
+	wait := time.Hour
+	for _, w := range l.wakes {
+		wait = min(wait, max(0, w.Sub(now)))
+	}
+	return wait
+}
+
+// dropWakes forgets the times that have come.
+func (l *Lease) dropWakes(now time.Time) {
+	l.wakes = slices.DeleteFunc(l.wakes, func(w time.Time) bool { return !w.After(now) })
+}
