reserve: ask a second home when the first is late, and keep homes apart

Cause: with one home paused, reservations there waited for its suspicion; a renewal round waited for the slowest home, so that leases at the others could lapse; the end of an answer waited for the release. In lost_answers, one lost answer of a plain service counted as a crash and ejected all three workers. Change: a home that is later than twice its foreseen wait plus 150 ms is raced against the next; each home has its own renewals and batched releases; a lost answer of a service counts as a failure. Requests wait up to 300 ms for a manifest that is known of; an instance cut off from platform and members takes none.

--- a/instance/callers.go
+++ b/instance/callers.go
@@ -25,25 +25,58 @@
 	return workspace.Name, true
 }
 
-// Ready refuses while there is no manifest, or one that is known to be
-// outdated, and once the instance takes no new work.
-func (b *callerBackend) Ready() *answer.Failure {
+// Ready refuses while the manifest in force here may not be the newest, and
+// once the instance takes no new work.
+func (b *callerBackend) Ready(ctx context.Context) *answer.Failure {
 	i := (*Instance)(b)
 	switch {
-	case i.Index() == nil:
-		return &answer.Failure{Reason: answer.ReasonNotReady, Message: "the instance has no manifest yet", RetryAfter: notReadyRetry}
 	case !i.leaving.accepting():
 		return &answer.Failure{Reason: answer.ReasonLeaving, Message: "the instance is leaving; ask for entries again", RetryAfter: leavingRetry}
+	case i.cutOff():
+		return &answer.Failure{Reason: answer.ReasonNotReady, Message: "the instance hears neither the platform nor other instances", RetryAfter: notReadyRetry}
+	case !i.awaitManifest(ctx):
+		return &answer.Failure{Reason: answer.ReasonNotReady, Message: "the instance has not got the newest manifest yet", RetryAfter: notReadyRetry}
 	default:
 		return nil
 	}
 }
 
+// cutOff reports whether another instance may have accepted a manifest without
+// this one hearing of it. An instance that never met another goes on.
+func (i *Instance) cutOff() bool {
+	return i.manifests.CutOff() && len(i.members.Records()) > 1
+}
+
+// awaitManifest waits for the newest manifest that is known of.
+func (i *Instance) awaitManifest(ctx context.Context) bool {
+	if i.current() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, manifestWait)
+	defer cancel()
+	ticker := time.NewTicker(manifestPoll)
+	defer ticker.Stop()
+	for !i.current() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// current reports whether the newest manifest that is known of is in force.
+func (i *Instance) current() bool { return i.Index() != nil && !i.manifests.Behind() }
+
 func (b *callerBackend) ManifestVersion() id.ManifestVersion { return (*Instance)(b).version() }
 
 const (
 	notReadyRetry = 500 * time.Millisecond
 	leavingRetry  = 100 * time.Millisecond
+	// manifestWait bounds how long a request waits for a newer manifest.
+	manifestWait = 300 * time.Millisecond
+	manifestPoll = 2 * time.Millisecond
 )
 
 // Entries names the instances that a workspace's callers are to use.
--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -158,8 +158,10 @@
 		c.logFailure(grant, e.Err)
 		outcome = queue.Unreachable
 	case claim.MayHaveSent:
+		// One lost answer is no sign of a crash: a worker that is gone
+		// refuses the next connection.
 		c.logFailure(grant, e.Err)
-		outcome = queue.Crashed
+		outcome = queue.Failed
 	}
 	if outcome != queue.Completed && ctx.Err() != nil {
 		outcome = queue.Cancelled
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -161,6 +161,7 @@
 		Stamp:         i.stamp,
 		Seen:          i.seen,
 	}
+	i.reserver.Init()
 }
 
 func (i *Instance) buildEntry() {
--- a/instance/reconfigure.go
+++ b/instance/reconfigure.go
@@ -26,7 +26,9 @@
 		Addresses: peerAddresses(records),
 	})
 	i.limits.Configure(index.Manifest.Workspaces)
-	i.platform.SetInstances(len(i.members.Live()))
+	live := len(i.members.Live())
+	i.platform.SetInstances(live)
+	i.manifests.SetInstances(live)
 	i.loseHolders(records)
 }
 
--- a/instance/reserve/client.go
+++ b/instance/reserve/client.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/home"
 	"samphirehead/coordination/queue"
@@ -55,6 +54,10 @@
 	loads loadTable
 	// held holds all grants in use, with the home of each.
 	held map[id.Reservation]*holding
+	// releases holds what each remote home is still to be told.
+	releases map[id.Instance][]queue.Released
+	// released has room for one signal that releases wait.
+	released chan struct{}
 	// lost holds, for each home, what to cancel when it is lost.
 	lost map[id.Instance]*homeWaits
 }
@@ -71,6 +74,9 @@
 
 var _ dispatch.Dispatcher = (*Client)(nil)
 
+// Init makes all methods usable before Run.
+func (c *Client) Init() { c.released = make(chan struct{}, 1) }
+
 // Update replaces the view; waits at homes that it lacks end, and their
 // reservations go to other homes.
 func (c *Client) Update(v *View) {
@@ -92,44 +98,14 @@
 	return c.view
 }
 
-// Reserve asks homes in turn until one grants a slot.
+// Reserve asks homes in turn until one grants a slot. A home that should have
+// answered by now is left waiting while the next one is asked; the first grant
+// counts.
 func (c *Client) Reserve(ctx context.Context, need queue.Arrived) (*dispatch.Grant, error) {
-	began := time.Now()
 	need.Holder = c.Self
 	need.FailureDomain = c.FailureDomain
-	refusal := &dispatch.Refusal{Reason: queue.RefusedNoUpstream}
-	for _, h := range c.order(need) {
-		decision, err := c.ask(ctx, h, need)
-		if ctx.Err() != nil {
-			return nil, context.Cause(ctx)
-		}
-		if err != nil {
-			klog.V(2).InfoS("home did not answer", "request", need.Request, "home", h.Instance, "err", err)
-			continue
-		}
-		switch d := decision.(type) {
-		case homes.Granted:
-			grant, err := c.hold(need, h.Instance, d.Upstream, time.Since(began))
-			if err == nil {
-				return grant, nil
-			}
-		case homes.Refused:
-			refusal = worse(refusal, d)
-			if final(d.Reason) {
-				return nil, refusal
-			}
-		}
-	}
-	return nil, refusal
-}
-
-// worse keeps the refusal that tells most: one for capacity rather than one
-// for the lack of upstreams at a single home.
-func worse(old *dispatch.Refusal, d homes.Refused) *dispatch.Refusal {
-	if d.Reason == queue.RefusedNoUpstream && old.Reason != queue.RefusedNoUpstream {
-		return old
-	}
-	return &dispatch.Refusal{Reason: d.Reason, RetryAfter: d.RetryAfter}
+	r := &race{client: c, need: need, began: time.Now(), candidates: c.order(need)}
+	return r.run(ctx)
 }
 
 // final reports whether no other home would decide otherwise.
@@ -143,7 +119,7 @@
 }
 
 // order lists the homes to ask, best first.
-func (c *Client) order(need queue.Arrived) []home.PoolHome {
+func (c *Client) order(need queue.Arrived) []candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.view == nil {
@@ -157,7 +133,12 @@
 		Loads:         c.loads.of(need.Pool, class.Tier, time.Now()),
 	}
 	ordered := choice.Order()
-	return ordered[:min(len(ordered), maxHomes)]
+	ordered = ordered[:min(len(ordered), maxHomes)]
+	candidates := make([]candidate, len(ordered))
+	for n, h := range ordered {
+		candidates[n] = candidate{home: h, patience: patience(choice.Loads[h.Instance])}
+	}
+	return candidates
 }
 
 func (c *Client) ask(ctx context.Context, h home.PoolHome, need queue.Arrived) (homes.Decision, error) {
--- a/instance/reserve/renew.go
+++ b/instance/reserve/renew.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"samphirehead/coordination/queue"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/peer"
@@ -13,53 +13,41 @@
 	"samphirehead/state/id"
 )
 
-// Run renews the leases of all grants until ctx ends.
+// Run renews the leases of all grants and sends releases until ctx ends. Each
+// home is spoken to by itself, so that a slow one holds up no other.
 func (c *Client) Run(ctx context.Context) error {
+	s := &sender{client: c, done: make(chan finished), busy: make(map[task]bool)}
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			s.wait()
 			return nil
 		case <-ticker.C:
-			c.renewAll(ctx)
+			s.renewAll(ctx)
+		case <-c.released:
+			s.releaseAll(ctx)
+		case f := <-s.done:
+			s.end(ctx, f)
 		}
 	}
 }
 
-// renewAll moves grants whose upstream has a new home, then renews the rest,
-// all homes at the same time.
-func (c *Client) renewAll(ctx context.Context) {
-	moved, byHome := c.sortHoldings()
-	done := make(chan error)
-	for _, m := range moved {
-		go func() { done <- c.register(ctx, m) }()
-	}
-	for instance, holdings := range byHome {
-		go func() { done <- c.renew(ctx, instance, holdings) }()
-	}
-	for range len(moved) + len(byHome) {
-		if err := <-done; err != nil && ctx.Err() == nil {
-			klog.V(2).InfoS("renewal failed", "err", err)
-		}
-	}
-}
-
-// sortHoldings takes the homes of moved grants from the placement, and groups
-// the others by home.
-func (c *Client) sortHoldings() (moved []holding, byHome map[id.Instance][]holding) {
+// sortHoldings groups the grants in use by home: those whose upstream has got a
+// new home, by that, and the others.
+func (c *Client) sortHoldings() (moved, byHome map[id.Instance][]holding) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	byHome = make(map[id.Instance][]holding)
+	moved, byHome = make(map[id.Instance][]holding), make(map[id.Instance][]holding)
 	if c.view == nil {
-		return nil, byHome
+		return moved, byHome
 	}
 	c.loads.keep(c.view.Addresses)
 	for _, h := range c.held {
 		owner := c.view.Placement.Owners[h.grant.Upstream.Name]
 		if owner != "" && owner != h.home {
-			h.home = owner
-			moved = append(moved, *h)
+			moved[owner] = append(moved[owner], holding{h.grant, owner})
 			continue
 		}
 		byHome[h.home] = append(byHome[h.home], *h)
@@ -67,6 +55,38 @@
 	return moved, byHome
 }
 
+// releasing lists the homes for which releases wait.
+func (c *Client) releasing() []id.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.releases))
+}
+
+// registerAll tells a new home of the work that runs at its upstreams.
+func (c *Client) registerAll(ctx context.Context, holdings []holding) error {
+	for _, h := range holdings {
+		if err := c.register(ctx, h); err != nil {
+			return err
+		}
+		c.move(h)
+	}
+	return nil
+}
+
+// move notes the new home of a grant. If the grant has ended in the meantime,
+// the new home has to be told.
+func (c *Client) move(to holding) {
+	c.mu.Lock()
+	h, held := c.held[to.grant.Need.Reservation]
+	if held {
+		h.home = to.home
+	}
+	c.mu.Unlock()
+	if !held {
+		c.releaseAt(to.home, queue.Released{Reservation: to.grant.Need.Reservation, Outcome: queue.Cancelled})
+	}
+}
+
 func (c *Client) renew(ctx context.Context, at id.Instance, holdings []holding) error {
 	unknown, err := c.renewAt(ctx, at, holdings)
 	if err != nil {
@@ -169,13 +189,7 @@
 		Outcome:     e.Outcome,
 		FirstToken:  e.FirstToken,
 	}
-	if at == c.Self {
-		c.Local.Release([]queue.Released{released})
-		return
-	}
-	if remote, ok := c.remote(at); ok {
-		c.releaseAt(at, remote, released)
-	}
+	c.releaseAt(at, released)
 }
 
 func (c *Client) drop(r id.Reservation) (id.Instance, bool) {
@@ -189,20 +203,51 @@
 	return h.home, true
 }
 
-// releaseAt tells a remote home. When that fails, the lease lapses there.
-func (c *Client) releaseAt(at id.Instance, remote peer.Home, r queue.Released) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+// releaseAt tells a home, without waiting for it. When that fails, the lease
+// lapses there.
+func (c *Client) releaseAt(at id.Instance, r queue.Released) {
+	if at == c.Self {
+		c.Local.Release([]queue.Released{r})
+		return
+	}
+	c.mu.Lock()
+	if c.releases == nil {
+		c.releases = make(map[id.Instance][]queue.Released)
+	}
+	c.releases[at] = append(c.releases[at], r)
+	c.mu.Unlock()
+	select {
+	case c.released <- struct{}{}:
+	default:
+	}
+}
+
+// sendReleases tells a home of all releases that wait for it.
+func (c *Client) sendReleases(ctx context.Context, at id.Instance) error {
+	c.mu.Lock()
+	releases := c.releases[at]
+	delete(c.releases, at)
+	c.mu.Unlock()
+	remote, ok := c.remote(at)
+	if !ok || len(releases) == 0 {
+		return nil
+	}
+	request := &peer.ReleaseRequest{Stamp: c.Stamp(), Releases: make([]*peer.Release, len(releases))}
+	for n, r := range releases {
+		request.Releases[n] = &peer.Release{
+			Reservation:  string(r.Reservation),
+			Tokens:       int64(r.Tokens),
+			Outcome:      string(r.Outcome),
+			FirstTokenUs: r.FirstToken.Microseconds(),
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := remote.Release(ctx, &peer.ReleaseRequest{Stamp: c.Stamp(), Releases: []*peer.Release{{
-		Reservation:  string(r.Reservation),
-		Tokens:       int64(r.Tokens),
-		Outcome:      string(r.Outcome),
-		FirstTokenUs: r.FirstToken.Microseconds(),
-	}}})
+	resp, err := remote.Release(ctx, request)
 	if err != nil {
-		klog.V(2).InfoS("release failed", "reservation", r.Reservation, "home", at, "err", err)
-		return
+		return fault.At("release", string(at), err)
 	}
 	c.Seen(resp.Stamp)
 	c.heard(at, resp.Summary)
+	return nil
 }
--- a/instance/versions.go
+++ b/instance/versions.go
@@ -9,16 +9,30 @@
 	"samphirehead/instance/manifests"
 	wire "samphirehead/protocol/peer"
 	"samphirehead/state/document"
+	"samphirehead/state/fault"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
 	"samphirehead/transport/operator"
 )
 
 func (i *Instance) buildManifests() {
-	i.manifests = &manifests.Manifests{Self: i.Settings.Instance, Store: i.platform}
+	i.manifests = &manifests.Manifests{
+		Self:      i.Settings.Instance,
+		Store:     i.platform,
+		FetchPeer: i.fetchManifest,
+	}
 	i.manifests.Init()
 }
 
+// fetchManifest asks another instance for its manifest.
+func (i *Instance) fetchManifest(ctx context.Context, from id.Instance) (id.ManifestVersion, []byte, error) {
+	answer, err := i.members.FetchManifestFrom(ctx, from)
+	if err != nil {
+		return 0, nil, fault.At("fetch manifest", string(from), err)
+	}
+	return id.ManifestVersion(answer.Version), answer.Yaml, nil
+}
+
 // takeManifest makes the current manifest the one in force here.
 func (i *Instance) takeManifest() {
 	version, m, _ := i.manifests.Current()
@@ -67,7 +81,15 @@
 	return version, yaml, nil
 }
 
-// History returns the accepted versions.
-func (b *operatorBackend) History(context.Context, int) ([]operator.Revision, error) {
-	return nil, errors.New("not available")
+// History returns the latest accepted versions, the newest first.
+func (b *operatorBackend) History(ctx context.Context, limit int) ([]operator.Revision, error) {
+	revisions, err := b.manifests.History(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]operator.Revision, len(revisions))
+	for n, r := range revisions {
+		out[n] = operator.Revision(r)
+	}
+	return out, nil
 }
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -76,8 +76,9 @@
 type Backend interface {
 	// Authenticate returns the workspace that owns a bearer key.
 	Authenticate(key string) (id.Workspace, bool)
-	// Ready returns nil when the instance may take requests.
-	Ready() *answer.Failure
+	// Ready returns nil when the instance may take requests. It may wait a
+	// little for that.
+	Ready(ctx context.Context) *answer.Failure
 	// ManifestVersion is the version in force.
 	ManifestVersion() id.ManifestVersion
 	Entries(workspace id.Workspace) Entries
@@ -106,10 +107,10 @@
 func (s *Server) Handler() http.Handler {
 	s.slots = make(chan struct{}, s.MaxConcurrent)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/entries", s.authenticated(s.entries))
-	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.limited(s.chat)))
-	mux.HandleFunc("GET /v1/outcomes/{key}", s.authenticated(s.limited(s.outcome)))
-	mux.HandleFunc("/v1/services/{service}/{path...}", s.authenticated(s.limited(s.call)))
+	mux.HandleFunc("GET /v1/entries", s.authenticated(s.entries, true))
+	mux.HandleFunc("POST /v1/chat/completions", s.authenticated(s.limited(s.chat), false))
+	mux.HandleFunc("GET /v1/outcomes/{key}", s.authenticated(s.limited(s.outcome), false))
+	mux.HandleFunc("/v1/services/{service}/{path...}", s.authenticated(s.limited(s.call), false))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.refuse(w, answer.Failure{Reason: answer.ReasonNotFound, Message: "no such path: " + r.URL.Path})
 	})
@@ -118,9 +119,12 @@
 
 type handler func(w http.ResponseWriter, r *http.Request, ws id.Workspace)
 
-func (s *Server) authenticated(next handler) http.HandlerFunc {
+// authenticated admits callers with a known key while the instance is ready.
+// A leaving instance still lists entries, so that callers find others.
+func (s *Server) authenticated(next handler, listing bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if f := s.Backend.Ready(); f != nil && r.URL.Path != "/v1/entries" {
+		keysKnown := s.Backend.ManifestVersion() > 0
+		if f := s.Backend.Ready(r.Context()); f != nil && (!listing || !keysKnown) {
 			s.refuse(w, *f)
 			return
 		}
