--- /dev/null
+++ b/instance/atmostonce/faults_test.go
@@ -0,0 +1,176 @@
+package atmostonce_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/claim"
+	"samphirehead/instance/atmostonce"
+	"samphirehead/standin/fault"
+	standin "samphirehead/standin/platform"
+	"samphirehead/state/record"
+	"samphirehead/transport/platform"
+)
+
+// desk is a service that counts its runs by key and by attempt, and loses some
+// answers.
+type desk struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	byKey   map[record.Key]int
+	faulted int
+}
+
+// send returns the Send of one call, which sets ran when the call runs.
+func (d *desk) send(key record.Key, ran *atomic.Bool) func(context.Context, *claim.Permit) claim.Evidence {
+	return func(context.Context, *claim.Permit) claim.Evidence {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		kind := d.random.IntN(10)
+		if kind < 3 {
+			d.faulted++
+		}
+		if kind == 0 {
+			return claim.NothingSent{Err: os.ErrClosed}
+		}
+		if kind == 1 {
+			return claim.MayHaveSent{Err: os.ErrDeadlineExceeded}
+		}
+		d.byKey[key]++
+		ran.Store(true)
+		if kind == 2 {
+			return claim.MayHaveSent{Err: os.ErrDeadlineExceeded}
+		}
+		return claim.Answered{Answer: claim.Answer{Status: 201, Body: []byte(key)}}
+	}
+}
+
+// tally counts over all seeds.
+type tally struct {
+	mu       sync.Mutex
+	outcomes map[string]int
+	keys     int
+	calls    int
+	ran      int
+	faults   int
+}
+
+func (t *tally) add(outcome string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls++
+	t.outcomes[outcome]++
+}
+
+func randomFault(random *rand.Rand) fault.Fault {
+	faults := []fault.Fault{
+		{Kind: fault.Down, DurationMS: 50},
+		{Kind: fault.LostAnswer, Count: 3, Match: "write"},
+		{Kind: fault.LateWrite, Count: 3, DelayMS: 5},
+		{Kind: fault.LateWrite, Count: 3, DelayMS: 100},
+		{Kind: fault.Slow, Count: 5, DelayMS: 30},
+	}
+	return faults[random.IntN(len(faults))]
+}
+
+// TestDuplicatesUnderFaultsOverTwentySeeds sends each key from four instances
+// at the same moment over the real client, while the table fails.
+func TestDuplicatesUnderFaultsOverTwentySeeds(t *testing.T) {
+	const seeds = 20
+	total := &tally{outcomes: map[string]int{}}
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				runSeed(t, seed, total)
+			})
+		}
+	})
+	t.Logf("%d calls with %d keys, %d keys ran, %d faults, outcomes %v",
+		total.calls, total.keys, total.ran, total.faults, total.outcomes)
+	if total.outcomes["completed"] == 0 || total.ran == 0 {
+		t.Error("no call ran")
+	}
+}
+
+func runSeed(t *testing.T, seed uint64, total *tally) {
+	const keys, instances = 10, 4
+	random := rand.New(rand.NewPCG(seed, 0))
+	p := &standin.Platform{}
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	d := &desk{random: rand.New(rand.NewPCG(seed, 1)), byKey: map[record.Key]int{}}
+	var calls []*atmostonce.Calls
+	for range instances {
+		client := &platform.Client{Address: server.URL, OpenFor: 50 * time.Millisecond}
+		client.SetInstances(instances)
+		calls = append(calls, &atmostonce.Calls{Table: client})
+	}
+	var open sync.WaitGroup
+	for n := range keys {
+		p.Faults.Add(randomFault(random))
+		key := record.Key(fmt.Sprintf("claims/%d", n))
+		for _, c := range calls {
+			open.Go(func() { callOnce(t, c, d, key, total) })
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	open.Wait()
+	p.Faults.Clear()
+	for _, c := range calls {
+		if err := c.Wait(t.Context()); err != nil {
+			t.Error(err)
+		}
+	}
+	checkKeys(t, calls[0], d, total, keys)
+}
+
+func callOnce(t *testing.T, c *atmostonce.Calls, d *desk, key record.Key, total *tally) {
+	var ran atomic.Bool
+	outcome := c.Do(t.Context(), atmostonce.Call{
+		Key: key, Digest: "d", Deadline: time.Now().Add(2 * time.Second), Send: d.send(key, &ran),
+	})
+	total.add(kindOf(outcome))
+	if _, ok := outcome.(claim.NotRun); ok && ran.Load() {
+		t.Errorf("key %s: not_run for a call that ran", key)
+	}
+	if done, ok := outcome.(claim.Completed); ok && string(done.Answer.Body) != string(key) {
+		t.Errorf("key %s: answer of %s", key, done.Answer.Body)
+	}
+}
+
+// checkKeys checks after the faults that no key ran twice, and that a key is
+// only told as not run if it did not.
+func checkKeys(t *testing.T, c *atmostonce.Calls, d *desk, total *tally, keys int) {
+	total.mu.Lock()
+	defer total.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	total.keys += keys
+	total.faults += d.faulted + keys
+	for n := range keys {
+		key := record.Key(fmt.Sprintf("claims/%d", n))
+		total.ran += d.byKey[key]
+		if d.byKey[key] > 1 {
+			t.Errorf("key %s ran %d times", key, d.byKey[key])
+		}
+		finding, err := c.Find(t.Context(), key)
+		if err != nil {
+			t.Error(err)
+		}
+		known, ok := finding.(claim.Known)
+		if !ok {
+			continue
+		}
+		if _, notRun := known.Outcome.(claim.NotRun); notRun && d.byKey[key] > 0 {
+			t.Errorf("key %s is told as not run", key)
+		}
+	}
+}
