--- a/coordination/member/machine_test.go
+++ b/coordination/member/machine_test.go
@@ -14,11 +14,17 @@
 	"samphirehead/state/id"
 )
 
-// TestMain fixes the seed of rapid unless the command line gives one.
+// TestMain fixes the seed of rapid, and the number of its checks so that more
+// than 100,000 steps are checked, unless the command line gives them.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("20261")
+	for name, value := range map[string]struct{ preset, ours string }{
+		"rapid.seed":   {"0", "20261"},
+		"rapid.checks": {"100", "200"},
+	} {
+		if f := flag.Lookup(name); f.Value.String() == value.preset {
+			_ = f.Value.Set(value.ours)
+		}
 	}
 	os.Exit(m.Run())
 }
