claim: get through a slow platform, and answer duplicates sooner

The client cut every call off at 400 ms, also for callers that could wait, so a platform that answers 400 ms late lost most claims and all polls. Its timeout now applies only where the context has no deadline; a claim has 900 ms in all and 450 ms for each write. A duplicate first looks again after 10 ms in place of 50.

--- a/coordination/claim/call.go
+++ b/coordination/claim/call.go
@@ -10,7 +10,7 @@
 const (
 	// claimBudget bounds the time from the start of a claim to its mark as
 	// sent, so that a caller learns within a second that the store is down.
-	claimBudget = 800 * time.Millisecond
+	claimBudget = 900 * time.Millisecond
 	// maxRepeats bounds how often one write is repeated whose answer was
 	// lost.
 	maxRepeats = 4
@@ -22,7 +22,7 @@
 	lateMargin = 2 * time.Second
 	// pollFirst and pollMost bound the delay between reads of another
 	// attempt's claim; it doubles from one to the next.
-	pollFirst = 50 * time.Millisecond
+	pollFirst = 10 * time.Millisecond
 	pollMost  = time.Second
 	// persistFor bounds the time for which an outcome, or the release of a
 	// claim, is tried again while the store is down.
--- a/instance/atmostonce/calls.go
+++ b/instance/atmostonce/calls.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	// opTimeout bounds each read and write of a claim that names no
-	// earlier time.
-	opTimeout = time.Second
+	// urgentTimeout bounds each operation that must end by a given time, so
+	// that there is time to repeat it.
+	urgentTimeout = 450 * time.Millisecond
+	// opTimeout bounds all others.
+	opTimeout = 2 * time.Second
 	// DefaultLateFor is how long an answer is awaited after the caller's
 	// deadline, to be recorded.
 	DefaultLateFor = 30 * time.Second
@@ -212,8 +214,11 @@
 }
 
 func (r *run) until(by time.Time) (context.Context, context.CancelFunc) {
-	most := time.Now().Add(opTimeout)
-	if by.IsZero() || by.After(most) {
+	if by.IsZero() {
+		return context.WithTimeout(r.work, opTimeout)
+	}
+	most := time.Now().Add(urgentTimeout)
+	if by.After(most) {
 		by = most
 	}
 	return context.WithDeadline(r.work, by)
--- a/instance/leases/leases.go
+++ b/instance/leases/leases.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	opTimeout = time.Second
+	opTimeout = 2 * time.Second
 	// releaseTimeout bounds the release of a lease at the end.
 	releaseTimeout = 2 * time.Second
 )
--- a/instance/manifests/apply.go
+++ b/instance/manifests/apply.go
@@ -19,6 +19,10 @@
 // applyTimeout bounds an Apply whose context has no earlier deadline.
 const applyTimeout = 5 * time.Second
 
+// stepTimeout bounds each operation of an Apply, so that there is time to
+// repeat it.
+const stepTimeout = 2 * time.Second
+
 // Apply makes yaml the successor of version base. It returns the version in
 // force afterwards, as far as known, and whether that is the given manifest. A
 // repeat with the same operation and base gets the result of the first. An
@@ -81,15 +85,21 @@
 func (r *applyRun) carryOut(ctx context.Context, effect rollout.ApplyEffect) rollout.ApplyEvent {
 	switch e := effect.(type) {
 	case rollout.ReadRows:
+		ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+		defer cancel()
 		rows, err := r.store.Read(ctx, e.Keys)
 		return rollout.RowsRead{Rows: rows, Err: err}
 	case rollout.PutObject:
+		ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+		defer cancel()
 		err := r.store.PutObject(ctx, e.Name, e.Body)
 		if errors.Is(err, platform.ErrExists) {
 			err = nil
 		}
 		return rollout.ObjectPut{Err: err}
 	case rollout.WriteRows:
+		ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+		defer cancel()
 		return rollout.RowsWritten{Result: r.store.Write(ctx, e.Writes)}
 	case rollout.ApplyWakeAt:
 		sleep(ctx, time.Until(e.Time))
--- a/instance/manifests/manifests.go
+++ b/instance/manifests/manifests.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	readTimeout  = time.Second
+	readTimeout  = 2 * time.Second
 	fetchTimeout = 2 * time.Second
 )
 
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -52,8 +52,8 @@
 	// together; each instance takes an equal share. 0 means the default.
 	WritesPerSecond float64
 	ReadsPerSecond  float64
-	// Timeout bounds each call whose context has no earlier deadline; 0
-	// means the default. Objects and weights use the context alone.
+	// Timeout bounds each call whose context has no deadline; 0 means the
+	// default. Objects and weights use the context alone.
 	Timeout time.Duration
 	// HedgeAfter is how long a read waits before it is sent a second time;
 	// 0 means the default.
@@ -98,6 +98,14 @@
 	return v
 }
 
+// bounded returns ctx with a deadline.
+func (c *Client) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.Timeout)
+}
+
 func (c *Client) breaker(name string) *gobreaker.CircuitBreaker[reply] {
 	return gobreaker.NewCircuitBreaker[reply](gobreaker.Settings{
 		Name:    name,
--- a/transport/platform/client_test.go
+++ b/transport/platform/client_test.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// TestDeadlineOfTheContextCounts checks that a caller which can wait is not cut
+// short by the default.
+func TestDeadlineOfTheContextCounts(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		status(200, `{"versions":[1]}`)(w, r)
+	})
+	c.Timeout = time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if got, ok := c.Write(ctx, []record.Write{{Key: "k"}}).(record.Written); !ok {
+		t.Fatalf("got %T, want Written", got)
+	}
+}
+
 func TestWriteSendsTheProtocol(t *testing.T) {
 	var got map[string]any
 	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
--- a/transport/platform/object.go
+++ b/transport/platform/object.go
@@ -24,6 +24,8 @@
 	stepWeights   = "get weights"
 
 	maxObjectBytes = 64 << 20
+	// listTimeout bounds a read of the instance list.
+	listTimeout = 2 * time.Second
 )
 
 // ErrExists marks a conditional put of an object that exists already.
@@ -109,7 +111,7 @@
 // speaks.
 func (c *Client) Instances(ctx context.Context) ([]Instance, time.Time, error) {
 	c.init()
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	var list struct {
 		AsOfMS    int64      `json:"as_of_ms"`
--- a/transport/platform/table.go
+++ b/transport/platform/table.go
@@ -35,7 +35,7 @@
 // Write applies all writes or none. It never repeats them.
 func (c *Client) Write(ctx context.Context, writes []record.Write) record.WriteResult {
 	c.init()
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	if err := wait(ctx, c.writes, len(writes)); err != nil {
 		return record.Refused{Err: fault.At(stepWrite, c.Address, err)}
@@ -84,7 +84,7 @@
 // read is sent a second time while the deadline allows.
 func (c *Client) Read(ctx context.Context, keys []record.Key) ([]record.Row, error) {
 	c.init()
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	return hedge(ctx, c.HedgeAfter, func(ctx context.Context) ([]record.Row, error) {
 		return c.read(ctx, keys)
@@ -112,7 +112,7 @@
 // the key after, in key order.
 func (c *Client) Scan(ctx context.Context, prefix, after record.Key, limit int) ([]record.Row, error) {
 	c.init()
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	if err := wait(ctx, c.reads, 1); err != nil {
 		return nil, fault.At(stepScan, c.Address, err)
