bench: combine scenarios and cut an instance off from its peers only

Names joined by + run together, so that pairs need no list of their own. lose_home keeps the callers of an instance while its engines get another home.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -60,3 +60,13 @@
 		t.Errorf("load.yaml: %v", err)
 	}
 }
+
+func TestScenariosCombine(t *testing.T) {
+	s, ok := bench.Find("overload+crash_engine+kill_one")
+	if !ok || len(s.Changes) != 3 || len(s.Steps) != 5 {
+		t.Errorf("found %v: %+v", ok, s)
+	}
+	if _, ok := bench.Find("overload+nothing"); ok {
+		t.Error("found an unknown part")
+	}
+}
--- a/bench/cluster/cluster_test.go
+++ b/bench/cluster/cluster_test.go
@@ -145,13 +145,13 @@
 			t.Errorf("%s: broken before", name)
 		}
 	}
-	c.Nodes()[1].Isolate(time.Hour)
+	c.Nodes()[1].Isolate(time.Hour, false)
 	for name, ok := range paths {
 		if ok() {
 			t.Errorf("%s: not cut", name)
 		}
 	}
-	c.Nodes()[1].Isolate(0)
+	c.Nodes()[1].Isolate(0, false)
 	for name, ok := range paths {
 		if !ok() {
 			t.Errorf("%s: broken after", name)
--- a/bench/cluster/node.go
+++ b/bench/cluster/node.go
@@ -23,8 +23,10 @@
 	Index int
 
 	instance Instance
-	// gates are before the platform and the peers' listener.
-	gates  []*gate
+	// platform is the gate before the platform, peers that before the
+	// instance's own listener for peers.
+	platform, peers *gate
+
 	cancel context.CancelFunc
 	// done is closed when Run has returned err.
 	done chan struct{}
@@ -71,7 +73,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	n := &Node{
 		Name: name, Index: index, instance: instance, cancel: cancel, done: make(chan struct{}),
-		gates: []*gate{platformGate, peerGate},
+		platform: platformGate, peers: peerGate,
 	}
 	c.list(n, s)
 	go n.run(ctx, c.Platform)
@@ -99,7 +101,7 @@
 	defer close(n.done)
 	gateCtx, closeGates := context.WithCancel(context.WithoutCancel(ctx))
 	var gates sync.WaitGroup
-	for _, g := range n.gates {
+	for _, g := range []*gate{n.platform, n.peers} {
 		gates.Go(func() { g.serve(gateCtx) })
 	}
 	n.err = n.instance.Run(ctx)
@@ -132,19 +134,20 @@
 	n.cancel()
 }
 
-// Isolate cuts the instance off from the platform and its peers for d.
-func (n *Node) Isolate(d time.Duration) {
-	for _, g := range n.gates {
-		g.closeFor(d)
+// Isolate cuts the instance off from its peers, and from the platform unless
+// peersOnly is set, for d.
+func (n *Node) Isolate(d time.Duration, peersOnly bool) {
+	n.peers.closeFor(d)
+	if !peersOnly {
+		n.platform.closeFor(d)
 	}
 }
 
 // Stall holds back for d what goes between the instance and the platform or its
 // peers, as if the instance had been paused.
 func (n *Node) Stall(d time.Duration) {
-	for _, g := range n.gates {
-		g.stallFor(d)
-	}
+	n.platform.stallFor(d)
+	n.peers.stallFor(d)
 }
 
 // Leave tells the instance to leave and waits until it has.
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -79,11 +79,12 @@
 // Replace starts the instance at a place anew once it has ended.
 type Replace struct{ Place int }
 
-// Isolate cuts the instance at a place off from the platform and its peers for
-// a share of the duration.
+// Isolate cuts the instance at a place off from its peers, and from the platform
+// unless PeersOnly is set, for a share of the duration.
 type Isolate struct {
-	Place int
-	For   float64
+	Place     int
+	For       float64
+	PeersOnly bool
 }
 
 // Pause holds back what goes between the instance at a place and the platform
--- a/bench/scenarios.go
+++ b/bench/scenarios.go
@@ -1,7 +1,9 @@
 package bench
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"samphirehead/bench/cluster"
 	"samphirehead/bench/load"
@@ -14,14 +16,37 @@
 
 const offender id.Workspace = "troupe-tokachi"
 
-// Find returns the scenario with the given name.
+// Find returns the scenario with the given name; names joined by "+" make one
+// of several.
 func Find(name string) (Scenario, bool) {
 	all := Scenarios()
-	i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == name })
-	if i < 0 {
-		return Scenario{}, false
+	var parts []Scenario
+	for _, part := range strings.Split(name, "+") {
+		i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == part })
+		if i < 0 {
+			return Scenario{}, false
+		}
+		parts = append(parts, all[i])
+	}
+	if len(parts) == 1 {
+		return parts[0], true
+	}
+	return combine(name, parts), true
+}
+
+// combine lets all parts happen in one run.
+func combine(name string, parts []Scenario) Scenario {
+	all := Scenario{Name: name}
+	for _, s := range parts {
+		all.Summary += s.Summary + "; "
+		all.Changes = append(all.Changes, s.Changes...)
+		all.Extra = append(all.Extra, s.Extra...)
+		all.Steps = append(all.Steps, s.Steps...)
+		all.Offender = cmp.Or(all.Offender, s.Offender)
 	}
-	return all[i], true
+	all.Summary = strings.TrimSuffix(all.Summary, "; ")
+	slices.SortStableFunc(all.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return all
 }
 
 // Scenarios lists all scenarios.
@@ -124,7 +149,8 @@
 		{Name: "kill_one", Summary: "one instance dies and is replaced", Steps: []Step{{0.3, Kill{2}}, {0.6, Replace{2}}}},
 		{Name: "drain_one", Summary: "one instance leaves", Steps: []Step{{0.3, Leave{1}}}},
 		{Name: "replace_all", Summary: "all instances die and are replaced in turn", Steps: replaceAll},
-		{Name: "isolate_one", Summary: "one instance is cut off from the platform and its peers", Steps: []Step{{0.3, Isolate{1, 0.3}}}},
+		{Name: "isolate_one", Summary: "one instance is cut off from the platform and its peers", Steps: []Step{{0.3, Isolate{Place: 1, For: 0.3}}}},
+		{Name: "lose_home", Summary: "one instance is cut off from its peers: its engines get another home while its callers stay", Steps: []Step{{0.3, Isolate{Place: 1, For: 0.3, PeersOnly: true}}}},
 		{Name: "paused_holder", Summary: "one instance hears nothing for a while, while callers repeat calls elsewhere",
 			Changes: []Change{{Class: cluster.Registration, Copies: 2}},
 			Steps:   []Step{{0.2, Pause{0, 0.25}}, {0.6, Pause{2, 0.25}}}},
@@ -152,25 +178,8 @@
 
 // together returns all failures at once.
 func together() []Scenario {
-	parts := []string{"overload", "crash_engine", "poison_request", "duplicate_calls", "lost_answers", "kill_one", "apply_under_load"}
-	all := Scenario{Name: "all_at_once", Summary: "overload, crashes, a poisonous request, duplicates, lost answers, a dying instance, new manifests", Offender: offender}
+	names := []string{"overload", "crash_engine", "poison_request", "duplicate_calls", "lost_answers", "kill_one", "apply_under_load"}
 	known := slices.Concat(loadScenarios(), engineScenarios(), instanceScenarios(), platformScenarios())
-	for _, s := range known {
-		if !slices.Contains(parts, s.Name) {
-			continue
-		}
-		all.Changes = append(all.Changes, s.Changes...)
-		all.Extra = append(all.Extra, s.Extra...)
-		all.Steps = append(all.Steps, s.Steps...)
-	}
-	slices.SortStableFunc(all.Steps, func(a, b Step) int {
-		if a.At < b.At {
-			return -1
-		}
-		if a.At > b.At {
-			return 1
-		}
-		return 0
-	})
-	return []Scenario{all}
+	parts := slices.DeleteFunc(known, func(s Scenario) bool { return !slices.Contains(names, s.Name) })
+	return []Scenario{combine("all_at_once", parts)}
 }
--- a/bench/steps.go
+++ b/bench/steps.go
@@ -77,7 +77,7 @@
 		return c.withNode(a.Place, c.cluster.Replace)
 	case Isolate:
 		return c.withNode(a.Place, func(n *cluster.Node) error {
-			n.Isolate(share(c.duration, a.For))
+			n.Isolate(share(c.duration, a.For), a.PeersOnly)
 			return nil
 		})
 	case Pause:
