queue: count a request as late when it can't start in time any more

A full queue that serves the earliest target first grants each request just before its target passes, and its start makes it miss. A request now counts as late one and a half mean starts, or its prefill, before its target.

--- a/coordination/queue/admit.go
+++ b/coordination/queue/admit.go
@@ -32,6 +32,9 @@
 		return
 	}
 	w.line = q.pools[ev.Pool].line(q.classes[ev.Class])
+	if latest := w.line.latestGrant(now, ev); latest.Before(ev.Deadline) && !w.front() {
+		w.timerAt = latest
+	}
 	w.line.arrivedAt = now
 	q.waiters[w.Reservation] = w
 	q.timers.push(w)
@@ -49,9 +52,6 @@
 func (q *Queue) newWaiter(now time.Time, ev Arrived) *waiter {
 	q.arrivals++
 	w := &waiter{Arrived: ev, sequence: q.arrivals, waitsSince: now, timerAt: ev.Deadline}
-	if ev.FirstTokenBy.Before(ev.Deadline) && !w.front() {
-		w.timerAt = ev.FirstTokenBy
-	}
 	median, high := q.remaining(ev)
 	w.cost = max(1, ev.PromptTokens+median)
 	w.need = ev.PromptTokens + ev.ResumeOffset + high
--- a/coordination/queue/line.go
+++ b/coordination/queue/line.go
@@ -11,6 +11,9 @@
 	// than its share may have served ahead of the others.
 	burstRequests = 16
 	costWeight    = 0.1
+	startupWeight = 0.1
+	// startupMargin covers starts that are slower than the mean.
+	startupMargin = 1.5
 )
 
 // line is the queue of one class in one pool. Workspaces share its grants by
@@ -35,6 +38,9 @@
 	// meanCost is the recent mean of the tokens charged for a grant.
 	meanCost float64
 	waiting  int
+	// startup is the recent mean time from grant to first token, in
+	// nanoseconds.
+	startup float64
 	// credit is the grants that the class is owed by its minimum share;
 	// 0 while nothing waits.
 	credit float64
@@ -183,6 +189,24 @@
 	return int((l.virtual - f.tag) / l.meanCost)
 }
 
+// started takes in how long a granted request took to its first token.
+func (l *line) started(took time.Duration) {
+	if l.startup == 0 {
+		l.startup = float64(took)
+		return
+	}
+	l.startup += startupWeight * (float64(took) - l.startup)
+}
+
+// latestGrant returns when a request has to be granted at the latest to meet its
+// target. Without a margin for the start, a full queue that serves the earliest
+// target first would grant each request just too late.
+func (l *line) latestGrant(now time.Time, a Arrived) time.Time {
+	margin := max(time.Duration(startupMargin*l.startup), l.pool.prefillTime(a.PromptTokens))
+	most := a.FirstTokenBy.Sub(now) / 2
+	return a.FirstTokenBy.Add(-min(margin, max(0, most)))
+}
+
 // forget drops idle workspaces that a new one would equal.
 func (l *line) forget() {
 	for {
--- a/coordination/queue/running.go
+++ b/coordination/queue/running.go
@@ -142,6 +142,9 @@
 // learn takes in what the end of a reservation says of its upstream and class.
 func (q *Queue) learn(now time.Time, r *running, ev Released) {
 	u := r.worker
+	if ev.FirstToken > 0 {
+		r.line.started(ev.FirstToken)
+	}
 	if ev.FirstToken > 0 && !q.WithoutSlowing {
 		u.Speed.FirstToken(ev.FirstToken, r.expected)
 		for _, p := range u.pools {
