entry: decide retries by budget, read cache events, escape forwarded paths

Retries follow coordination/retry (a budget per class and pool) in place of a fixed number of attempts. Homes hear the engines' cache events. The decoded path that a route matched is escaped again before it is forwarded. Tests put each fault of an engine before an entry: breaks, refusals, noise, preemption, a caller that is gone.

--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/google/uuid"
@@ -10,6 +11,7 @@
 
 	"samphirehead/coordination/claim"
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/retry"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
 	"samphirehead/state/id"
@@ -109,18 +111,34 @@
 		}
 		c.release(ctx, grant, evidence)
 		if answered, ok := evidence.(claim.Answered); ok {
+			c.entry.succeeded(c.retryKey())
 			return answer.Completed{}, serviceAnswer(answered.Answer)
 		}
 		if ctx.Err() != nil {
 			return progress.End(contextFailure(context.Cause(ctx))), caller.ServiceAnswer{}
 		}
-		if attempts == maxAttempts {
-			return progress.End(answer.Failure{Reason: answer.ReasonUpstream, Message: "no worker of the service answered", RetryAfter: defaultRetryAfter}), caller.ServiceAnswer{}
+		if verdict := c.verdict(evidence, attempts); verdict.Action == retry.Fail {
+			return progress.End(retryFailure(verdict)), caller.ServiceAnswer{}
 		}
 		c.need.Excluded = append(c.need.Excluded, grant.Upstream.Name)
 	}
 }
 
+// verdict decides what follows an attempt that got no answer.
+func (c *serviceCall) verdict(evidence claim.Evidence, attempts int) retry.Verdict {
+	_, none := evidence.(claim.NothingSent)
+	return c.entry.decide(c.retryKey(), retry.Evidence{
+		NothingSent: none,
+		Idempotent:  c.route.Semantics == manifest.Idempotent,
+		Attempts:    attempts,
+		Deadline:    c.need.Deadline,
+	})
+}
+
+func (c *serviceCall) retryKey() retry.Key {
+	return retry.Key{Class: c.class.Name, Pool: c.need.Pool}
+}
+
 func (c *serviceCall) logFailure(grant *dispatch.Grant, err error) {
 	klog.V(1).InfoS("attempt failed", "request", c.in.Request, "workspace", c.in.Workspace, "class", c.class.Name,
 		"upstream", grant.Upstream.Name, "err", err)
@@ -133,14 +151,11 @@
 		header.Del(name)
 	}
 	header.Set(caller.HeaderRequestID, string(c.in.Request))
-	target := c.in.Path
-	if c.in.Query != "" {
-		target += "?" + c.in.Query
-	}
+	target := url.URL{Path: c.in.Path, RawQuery: c.in.Query}
 	return service.Call{
 		Address: grant.Upstream.Address,
 		Method:  c.in.Method,
-		Target:  target,
+		Target:  target.RequestURI(),
 		Header:  header,
 		Body:    c.in.Body,
 	}
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/retry"
 	"samphirehead/instance/atmostonce"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
@@ -19,12 +21,8 @@
 	"samphirehead/transport/service"
 )
 
-const (
-	// maxAttempts bounds the upstreams that one request is sent to.
-	maxAttempts = 4
-	// defaultRetryAfter is told when the queue names no time.
-	defaultRetryAfter = time.Second
-)
+// defaultRetryAfter is told when the queue names no time.
+const defaultRetryAfter = time.Second
 
 // Admission decides before a request is queued; nil admits.
 type Admission func(ctx context.Context, workspace id.Workspace, tokens id.Tokens) *answer.Failure
@@ -46,6 +44,48 @@
 	Used func(workspace id.Workspace, admitted, used id.Tokens)
 	// Crashed hears of each upstream that broke under a request.
 	Crashed func(u id.Upstream, request id.Request, f id.Fingerprint)
+
+	mu sync.Mutex
+	// retries is guarded by mu.
+	retries retry.Policy
+}
+
+// decide returns what becomes of a request after a failed attempt.
+func (e *Entry) decide(k retry.Key, evidence retry.Evidence) retry.Verdict {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.retries.Decide(time.Now(), k, evidence)
+	if v.Action == retry.Fail {
+		e.Metrics.Add("retries_refused_"+string(v.Reason), 1)
+		return v
+	}
+	e.Metrics.Add("retries_"+string(v.Action), 1)
+	return v
+}
+
+// succeeded credits the budget for retries.
+func (e *Entry) succeeded(k retry.Key) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retries.Succeeded(time.Now(), k)
+}
+
+// retryFailure explains why a request is not tried again.
+func retryFailure(v retry.Verdict) answer.Failure {
+	f := answer.Failure{Reason: answer.ReasonUpstream, RetryAfter: defaultRetryAfter}
+	switch v.Reason {
+	case retry.NotResumable:
+		f.Message = "the upstream failed and the answer can't be resumed"
+	case retry.TooLate:
+		f.Reason, f.Message = answer.ReasonDeadline, "the upstream failed and the class's total deadline leaves no time to try another"
+	case retry.NoBudget:
+		f.Message = "the upstream failed and the class has used up its retries"
+	case retry.NotRepeatable:
+		f.Message = "the upstream failed and the call must not be repeated"
+	default:
+		f.Message = "several upstreams failed"
+	}
+	return f
 }
 
 // classified is a request with the class it runs in.
--- a/instance/entry/generate.go
+++ b/instance/entry/generate.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/retry"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
 	"samphirehead/protocol/openai"
@@ -137,6 +138,7 @@
 		}
 		err = g.attempt(ctx, grant)
 		if err == nil {
+			g.entry.succeeded(g.retryKey())
 			return answer.Completed{}
 		}
 		if failure, over := g.giveUp(ctx, grant, err); over {
@@ -235,26 +237,39 @@
 func (g *generation) giveUp(ctx context.Context, grant *dispatch.Grant, err error) (answer.Failure, bool) {
 	klog.V(1).InfoS("attempt failed", "request", g.in.Request, "workspace", g.in.Workspace, "class", g.class.Name,
 		"upstream", grant.Upstream.Name, "attempt", g.attempts, "delivered", g.next, "err", err)
-	if errors.Is(err, errPreempted) {
-		g.attempts--
-		return answer.Failure{}, false
-	}
 	if errors.Is(err, errCallerGone) || ctx.Err() != nil {
 		return contextFailure(context.Cause(ctx)), true
 	}
-	if endingOf(ctx, err) == queue.Crashed {
+	preempted := errors.Is(err, errPreempted)
+	if preempted {
+		g.attempts--
+	}
+	outcome := endingOf(ctx, err)
+	if outcome == queue.Crashed {
 		g.entry.Crashed(grant.Upstream.Name, g.in.Request, g.need.Fingerprint)
 	}
-	resumable := g.next == 0 || grant.Upstream.Resumes
-	if !resumable || g.attempts >= maxAttempts {
-		return answer.Failure{Reason: answer.ReasonUpstream, Message: "the upstream failed and the answer can't be resumed", RetryAfter: defaultRetryAfter}, true
+	verdict := g.entry.decide(g.retryKey(), retry.Evidence{
+		NothingSent: errors.Is(err, engine.ErrNotSent),
+		Delivered:   g.next,
+		Resumable:   grant.Upstream.Resumes,
+		Idempotent:  true,
+		Preempted:   preempted,
+		Attempts:    g.attempts,
+		Deadline:    g.need.Deadline,
+	})
+	if verdict.Action == retry.Fail {
+		return retryFailure(verdict), true
 	}
-	if !slices.Contains(g.need.Excluded, grant.Upstream.Name) {
+	if !preempted && !slices.Contains(g.need.Excluded, grant.Upstream.Name) {
 		g.need.Excluded = append(g.need.Excluded, grant.Upstream.Name)
 	}
 	return answer.Failure{}, false
 }
 
+func (g *generation) retryKey() retry.Key {
+	return retry.Key{Class: g.class.Name, Pool: g.need.Pool}
+}
+
 func (g *generation) observe(result answer.Result) {
 	g.entry.Metrics.Observe(metrics.Observation{
 		Class:      g.class.Name,
--- /dev/null
+++ b/instance/entry/generate_test.go
@@ -0,0 +1,323 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/queue"
+	"samphirehead/instance/dispatch"
+	"samphirehead/instance/entry"
+	"samphirehead/protocol/answer"
+	"samphirehead/protocol/openai"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/metrics"
+	"samphirehead/transport/caller"
+	"samphirehead/transport/engine"
+)
+
+const answerTokens = 8
+
+// fakeEngine streams an answer of answerTokens tokens, with one fault.
+type fakeEngine struct {
+	// until is the token before which the connection breaks; answerTokens
+	// and more mean none.
+	until int
+	// noise sends foreign, repeated and unreadable events among the tokens.
+	noise bool
+	// status is answered instead of a stream, unless 0.
+	status int
+	// reached is called before each token.
+	reached func(token int)
+}
+
+func (f fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.status != 0 {
+		w.WriteHeader(f.status)
+		return
+	}
+	request := r.Header.Get("X-Request-Id")
+	offset, _ := strconv.Atoi(r.Header.Get("X-Resume-Offset"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := offset; i < answerTokens; i++ {
+		if i == f.until {
+			panic(http.ErrAbortHandler)
+		}
+		if f.noise {
+			send(w, i+3, request, token(i+3))
+			send(w, i, "another request", "foreign ")
+			fmt.Fprint(w, "data: {\n\n")
+		}
+		send(w, i, request, token(i))
+		if f.noise {
+			send(w, i, request, token(i))
+		}
+		if f.reached != nil {
+			f.reached(i)
+		}
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", request)
+}
+
+func token(i int) string { return fmt.Sprintf("t%d ", i) }
+
+func send(w http.ResponseWriter, sequence int, request, text string) {
+	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", sequence, request, text)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// dispatcher gives out upstreams in order.
+type dispatcher struct {
+	upstreams []manifest.Upstream
+
+	mu      sync.Mutex
+	grants  []*dispatch.Grant
+	endings []queue.Outcome
+	offsets []id.Tokens
+}
+
+func (d *dispatcher) Reserve(ctx context.Context, need queue.Arrived) (*dispatch.Grant, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, u := range d.upstreams {
+		if slices.Contains(need.Excluded, u.Name) {
+			continue
+		}
+		g := dispatch.NewGrant(need, u, 0)
+		d.grants = append(d.grants, g)
+		d.offsets = append(d.offsets, need.ResumeOffset)
+		return g, nil
+	}
+	return nil, &dispatch.Refusal{Reason: queue.RefusedNoUpstream}
+}
+
+func (d *dispatcher) Release(_ *dispatch.Grant, e dispatch.Ending) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endings = append(d.endings, e.Outcome)
+}
+
+// preemptLast preempts the grant in use.
+func (d *dispatcher) preemptLast() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.grants[len(d.grants)-1].Preempt()
+}
+
+type sink struct {
+	text strings.Builder
+	// fail makes every delivery an error.
+	fail bool
+}
+
+func (s *sink) Deliver(ev openai.Event) error {
+	if s.fail {
+		return fmt.Errorf("gone")
+	}
+	s.text.WriteString(ev.Content)
+	return nil
+}
+
+// rig is an entry before fake engines.
+type rig struct {
+	entry      *entry.Entry
+	dispatcher *dispatcher
+	crashed    []id.Upstream
+}
+
+// newRig puts engines that resume, or do not, behind an entry. An empty
+// address of a nil engine refuses connections.
+func newRig(t *testing.T, resumes bool, engines ...http.Handler) *rig {
+	t.Helper()
+	r := &rig{dispatcher: &dispatcher{}}
+	m := &manifest.Manifest{
+		Classes:    []manifest.Class{{Name: "c", Tier: 1, FirstToken: time.Second, TotalDeadline: time.Minute}},
+		Workspaces: []manifest.Workspace{{Name: "w", Classes: []id.Class{"c"}}},
+		Models:     []manifest.Model{{Name: "m"}},
+	}
+	for n, handler := range engines {
+		address := refusing(t)
+		if handler != nil {
+			server := httptest.NewServer(handler)
+			t.Cleanup(server.Close)
+			address = server.Listener.Addr().String()
+		}
+		u := manifest.Upstream{Name: id.Upstream(fmt.Sprint("u", n)), Address: address, Kind: manifest.KindEngine, Models: []id.Model{"m"}, Resumes: resumes}
+		m.Upstreams = append(m.Upstreams, u)
+	}
+	r.dispatcher.upstreams = m.Upstreams
+	index := manifest.NewIndex(m)
+	r.entry = &entry.Entry{
+		Dispatcher: r.dispatcher,
+		Engines:    &engine.Client{HTTP: engine.NewHTTP()},
+		Metrics:    &metrics.Registry{},
+		Index:      func() *manifest.Index { return index },
+		Admit:      func(context.Context, id.Workspace, id.Tokens) *answer.Failure { return nil },
+		Used:       func(id.Workspace, id.Tokens, id.Tokens) {},
+		Crashed: func(u id.Upstream, _ id.Request, _ id.Fingerprint) {
+			r.crashed = append(r.crashed, u)
+		},
+	}
+	return r
+}
+
+// refusing returns an address at which nothing listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	return server.Listener.Addr().String()
+}
+
+func (r *rig) generate(ctx context.Context, s *sink) answer.Result {
+	chat, err := openai.ParseChat([]byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"a"}]}`))
+	if err != nil {
+		panic(err)
+	}
+	return r.entry.Generate(ctx, caller.Generation{Request: "q", Workspace: "w", Chat: chat, Arrived: time.Now()}, s)
+}
+
+func wholeText() string {
+	var b strings.Builder
+	for i := range answerTokens {
+		b.WriteString(token(i))
+	}
+	return b.String()
+}
+
+// TestFaultsOfEngines checks the answer and its outcome, for each fault of the
+// first engine before a good second one.
+func TestFaultsOfEngines(t *testing.T) {
+	good := fakeEngine{until: answerTokens}
+	for _, c := range []struct {
+		name    string
+		resumes bool
+		engines []http.Handler
+		outcome string
+		text    string
+		endings []queue.Outcome
+		offsets []id.Tokens
+	}{
+		{"none", true, []http.Handler{good}, "completed", wholeText(), []queue.Outcome{queue.Completed}, []id.Tokens{0}},
+		{"breaks in the middle", true, []http.Handler{fakeEngine{until: 3}, good}, "completed", wholeText(),
+			[]queue.Outcome{queue.Crashed, queue.Completed}, []id.Tokens{0, 3}},
+		{"breaks in the middle and can't resume", false, []http.Handler{fakeEngine{until: 3}, good}, "unknown", "t0 t1 t2 ",
+			[]queue.Outcome{queue.Crashed}, []id.Tokens{0}},
+		{"breaks before the first token", false, []http.Handler{fakeEngine{until: 0}, good}, "completed", wholeText(),
+			[]queue.Outcome{queue.Crashed, queue.Completed}, []id.Tokens{0, 0}},
+		{"refuses connections", false, []http.Handler{nil, good}, "completed", wholeText(),
+			[]queue.Outcome{queue.Unreachable, queue.Completed}, []id.Tokens{0, 0}},
+		{"all refuse connections", false, []http.Handler{nil, nil}, "not_run", "",
+			[]queue.Outcome{queue.Unreachable, queue.Unreachable}, []id.Tokens{0, 0}},
+		{"all break", true, []http.Handler{fakeEngine{until: 0}, fakeEngine{until: 0}}, "unknown", "",
+			[]queue.Outcome{queue.Crashed, queue.Crashed}, []id.Tokens{0, 0}},
+		{"answers with an error", true, []http.Handler{fakeEngine{status: 503}, good}, "completed", wholeText(),
+			[]queue.Outcome{queue.Failed, queue.Completed}, []id.Tokens{0, 0}},
+		{"sends late, repeated and foreign events", true, []http.Handler{fakeEngine{until: answerTokens, noise: true}}, "completed", wholeText(),
+			[]queue.Outcome{queue.Completed}, []id.Tokens{0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, c.resumes, c.engines...)
+			s := &sink{}
+			result := r.generate(t.Context(), s)
+			if got := outcome(result); got != c.outcome {
+				t.Errorf("outcome %s, want %s", got, c.outcome)
+			}
+			if got := s.text.String(); got != c.text {
+				t.Errorf("answer %q, want %q", got, c.text)
+			}
+			if !slices.Equal(r.dispatcher.endings, c.endings) || !slices.Equal(r.dispatcher.offsets, c.offsets) {
+				t.Errorf("endings %v at offsets %v, want %v at %v", r.dispatcher.endings, r.dispatcher.offsets, c.endings, c.offsets)
+			}
+		})
+	}
+}
+
+func outcome(r answer.Result) string {
+	switch r.(type) {
+	case answer.Completed:
+		return "completed"
+	case answer.NotRun:
+		return "not_run"
+	default:
+		return "unknown"
+	}
+}
+
+// TestPreemptedAnswerIsResumed checks that preempted work goes on where it
+// was, and does not count as an attempt.
+func TestPreemptedAnswerIsResumed(t *testing.T) {
+	var r *rig
+	left := 6
+	r = newRig(t, true, fakeEngine{until: answerTokens, reached: func(int) {
+		if left > 0 {
+			left--
+			r.dispatcher.preemptLast()
+		}
+	}})
+	s := &sink{}
+	if got := outcome(r.generate(t.Context(), s)); got != "completed" {
+		t.Errorf("outcome %s", got)
+	}
+	if s.text.String() != wholeText() {
+		t.Errorf("answer %q, want %q", s.text.String(), wholeText())
+	}
+	if !slices.Contains(r.dispatcher.endings, queue.OutcomePreempted) {
+		t.Errorf("endings %v, none of them preempted", r.dispatcher.endings)
+	}
+}
+
+// TestCrashNamesTheUpstream checks that only a broken connection counts as a
+// crash.
+func TestCrashNamesTheUpstream(t *testing.T) {
+	r := newRig(t, true, nil, fakeEngine{status: 500}, fakeEngine{until: 2}, fakeEngine{until: answerTokens})
+	r.generate(t.Context(), &sink{})
+	if !slices.Equal(r.crashed, []id.Upstream{"u2"}) {
+		t.Errorf("crashed %v, want u2", r.crashed)
+	}
+}
+
+func TestGoneCallerIsNoFaultOfTheEngine(t *testing.T) {
+	r := newRig(t, true, fakeEngine{until: answerTokens}, fakeEngine{until: answerTokens})
+	r.generate(t.Context(), &sink{fail: true})
+	if !slices.Equal(r.dispatcher.endings, []queue.Outcome{queue.Cancelled}) {
+		t.Errorf("endings %v, want one cancelled", r.dispatcher.endings)
+	}
+}
+
+// TestMetricsCountOutcomes checks what expvar serves after one good and one
+// refused request.
+func TestMetricsCountOutcomes(t *testing.T) {
+	r := newRig(t, true, fakeEngine{until: answerTokens})
+	r.generate(t.Context(), &sink{})
+	r.dispatcher.upstreams = nil
+	r.generate(t.Context(), &sink{})
+	var view struct {
+		Classes map[string]struct {
+			Outcomes map[string]int `json:"outcomes"`
+			Tokens   int            `json:"tokens"`
+		} `json:"classes"`
+	}
+	if err := json.Unmarshal([]byte(r.entry.Metrics.Var().String()), &view); err != nil {
+		t.Fatal(err)
+	}
+	c := view.Classes["c"]
+	if c.Outcomes["completed"] != 1 || c.Outcomes["not_run"] != 1 || c.Tokens != answerTokens {
+		t.Errorf("counted %+v", c)
+	}
+}
--- a/instance/entry/once.go
+++ b/instance/entry/once.go
@@ -9,6 +9,7 @@
 
 	"samphirehead/coordination/claim"
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/retry"
 	"samphirehead/instance/atmostonce"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
@@ -103,7 +104,7 @@
 		evidence := c.entry.Services.Once(ctx, permit, c.message(grant))
 		c.release(ctx, grant, evidence)
 		nothing, none := evidence.(claim.NothingSent)
-		if !none || attempts == maxAttempts || ctx.Err() != nil {
+		if !none || ctx.Err() != nil || c.verdict(evidence, attempts).Action == retry.Fail {
 			return evidence
 		}
 		c.need.Excluded = append(c.need.Excluded, grant.Upstream.Name)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -71,6 +71,8 @@
 	dead map[id.Instance]bool
 	// inFlight counts callers' requests in progress.
 	inFlight atomic.Int64
+	// cacheSequences holds how far the engines' cache events were read.
+	cacheSequences sequences
 	// calls holds calls for the background.
 	calls chan func(context.Context) error
 }
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/dghubble/sling"
 	"github.com/tmaxmax/go-sse"
 
 	"samphirehead/protocol/openai"
@@ -23,7 +22,6 @@
 
 const (
 	dialTimeout      = 500 * time.Millisecond
-	loadTimeout      = time.Second
 	idleConnsPerHost = 256
 	idleConnTimeout  = 60 * time.Second
 	maxErrorBytes    = 4 << 10
@@ -206,31 +204,3 @@
 
 // Refused reports whether err shows that no process listens at the address.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
-// Load is an engine's own late report.
-type Load struct {
-	AsOfMsAgo    int64      `json:"as_of_ms_ago"`
-	Running      int        `json:"running"`
-	Waiting      int        `json:"waiting"`
-	KVUsedTokens id.Tokens  `json:"kv_used_tokens"`
-	Models       []id.Model `json:"models"`
-}
-
-// Load asks the engine at address for its load report.
-func (c *Client) Load(ctx context.Context, address string) (Load, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	var out Load
-	req, err := sling.New().Base("http://" + address).Get("/v1/load").Request()
-	if err != nil {
-		return out, fault.At("read load", address, err)
-	}
-	resp, err := sling.New().Client(c.HTTP).Do(req.WithContext(ctx), &out, nil) //nolint:bodyclose // Do closes it.
-	if err != nil {
-		return out, fault.At("read load", address, err)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return out, fault.New("read load", address, resp.Status)
-	}
-	return out, nil
-}
