--- a/bench/report.go
+++ b/bench/report.go
@@ -43,6 +43,9 @@
 	OutdatedOrders int
 	// Keys counts the at-most-once calls by what their callers believe.
 	Keys map[answer.Outcome]int
+	// SlowestNotRun is the longest time from sending an at-most-once call to
+	// being told that it was not run.
+	SlowestNotRun time.Duration
 	// Others is the attainment of each class without the offender; nil if
 	// there is none.
 	Others []score.Class
@@ -71,6 +74,7 @@
 	for _, record := range records {
 		if record.Job.Key != "" {
 			r.Keys[record.Outcome]++
+			r.SlowestNotRun = max(r.SlowestNotRun, slowestNotRun(record))
 		}
 		if record.Sent.After(r.lastKill.Add(recoveryTime)) {
 			recovered = append(recovered, record)
@@ -87,6 +91,16 @@
 	}
 }
 
+func slowestNotRun(record *load.Record) time.Duration {
+	slowest := time.Duration(0)
+	for _, t := range record.Told {
+		if t.Outcome == answer.OutcomeNotRun {
+			slowest = max(slowest, t.EndedAt.Sub(t.SentAt))
+		}
+	}
+	return slowest
+}
+
 func classesOf(records []*load.Record) []score.Class {
 	run := score.Run{Records: records, Duration: time.Second}
 	return run.Score().Classes
@@ -102,7 +116,7 @@
 func (r *Report) Print(w io.Writer) {
 	fmt.Fprintf(w, "faults that struck:%s\n", counts(r.Faults))
 	fmt.Fprintf(w, "engine crashes by match:%s; outdated orders that took effect: %d\n", counts(r.Crashes), r.OutdatedOrders)
-	fmt.Fprintf(w, "at-most-once calls by outcome:%s\n", counts(r.Keys))
+	fmt.Fprintf(w, "at-most-once calls by outcome:%s; slowest answer not_run after %d ms\n", counts(r.Keys), r.SlowestNotRun.Milliseconds())
 	if r.AppliesTried > 0 {
 		fmt.Fprintf(w, "manifests tried %d, accepted %d, races with two winners %d, slowest spread %d ms\n",
 			r.AppliesTried, r.AppliesAccepted, r.RacesWithTwoWinners, r.SlowestSpread.Milliseconds())
