instance: tell live instances of a crash at once, and draw homes by fingerprint

Change: equal requests draw the same homes; an entry tells the live instances of a crash before it goes on (250 ms at most, 32 at most). Failed calls to homes bring their probes forward; headroom is told once a second; a holder that started anew loses what its earlier life held.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -67,8 +67,9 @@
 
 	// index is that of the manifest in force; nil before the first.
 	index atomic.Pointer[indexed]
-	// dead holds the members that were dead at the last reconfiguration.
-	dead map[id.Instance]bool
+	// lives holds the incarnation of each member that was not dead at the
+	// last reconfiguration.
+	lives map[id.Instance]id.Incarnation
 	// inFlight counts callers' requests in progress.
 	inFlight atomic.Int64
 	// cacheSequences holds how far the engines' cache events were read.
@@ -101,7 +102,7 @@
 		}
 	}
 	i.incarnation = id.Incarnation(time.Now().UnixNano())
-	i.dead = make(map[id.Instance]bool)
+	i.lives = make(map[id.Instance]id.Incarnation)
 	i.calls = make(chan func(context.Context) error, queuedBackground)
 	i.leaving.init()
 	i.build()
@@ -162,6 +163,7 @@
 		Remote:        i.clients.Home,
 		Stamp:         i.stamp,
 		Seen:          i.seen,
+		Failed:        func(home id.Instance) { i.members.Notice(home) },
 	}
 	i.reserver.Init()
 }
@@ -191,6 +193,8 @@
 	tierHeadroom = 0.1
 	// largePrefill is the prefill time from which a prompt counts as large.
 	largePrefill = 300 * time.Millisecond
+	// headroomInterval is how often members are told of the headroom.
+	headroomInterval = time.Second
 	// drainPoll is how often a leaving instance looks whether it may end.
 	drainPoll = 20 * time.Millisecond
 	// maxBackground bounds the calls in the background at a time,
@@ -297,10 +301,15 @@
 
 // watch applies changes of members and manifest until ctx ends.
 func (i *Instance) watch(ctx context.Context) error {
+	ticker := time.NewTicker(headroomInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
+			i.members.Update(i.version(), i.headroom())
+			continue
 		case <-i.members.Changed():
 		case <-i.manifests.Changed():
 			i.takeManifest()
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -17,7 +17,13 @@
 	"samphirehead/transport/platform"
 )
 
-const preemptTimeout = time.Second
+const (
+	preemptTimeout = time.Second
+	// crashTimeout bounds how long a request waits until others know of a
+	// crash, and maxTold how many are told directly; gossip reaches the rest.
+	crashTimeout = 250 * time.Millisecond
+	maxTold      = 32
+)
 
 // stamp says who speaks and which manifest is in force here.
 func (i *Instance) stamp() *wire.Stamp {
@@ -119,11 +125,41 @@
 	})
 }
 
-// crashed spreads that an upstream broke under a request.
+// crashed spreads that an upstream broke under a request. It returns when the
+// live instances know, or after crashTimeout, so that a caller who sends the
+// request again meets the suspicion wherever it turns.
 func (i *Instance) crashed(u id.Upstream, request id.Request, f id.Fingerprint) {
 	c := member.Crash{Fingerprint: f, Upstream: u, Request: request, At: time.Now()}
 	i.hearCrash(c)
 	i.members.ReportCrash(c)
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
+	defer cancel()
+	told := make(chan error, maxTold)
+	calls := 0
+	for _, r := range i.members.Live() {
+		if r.Instance == i.Settings.Instance || calls == maxTold {
+			continue
+		}
+		calls++
+		go func() { told <- i.tellCrash(ctx, r, c) }()
+	}
+	for range calls {
+		if err := <-told; err != nil {
+			klog.V(1).InfoS("crash not reported", "upstream", u, "err", err)
+		}
+	}
+}
+
+func (i *Instance) tellCrash(ctx context.Context, r member.Record, c member.Crash) error {
+	_, err := i.clients.Member(r.PeerAddress).Probe(ctx, &wire.ProbeRequest{
+		Stamp: i.stamp(),
+		Crashes: []*wire.Crash{{
+			Fingerprint: uint64(c.Fingerprint),
+			Upstream:    string(c.Upstream),
+			Request:     string(c.Request),
+		}},
+	})
+	return fault.At("report crash", string(r.Instance), err)
 }
 
 // hearCrash takes a crash report into the suspects of the home.
--- a/instance/reconfigure.go
+++ b/instance/reconfigure.go
@@ -79,14 +79,18 @@
 	return out
 }
 
-// loseHolders frees at this home what instances held that have died since the
-// last call.
+// loseHolders frees at this home what earlier lives of instances held: those
+// that have died or started anew since the last call.
 func (i *Instance) loseHolders(records []member.Record) {
 	for _, r := range records {
+		last, known := i.lives[r.Instance]
 		dead := r.State == member.Dead
-		if dead && !i.dead[r.Instance] {
+		if known && (dead || last < r.Incarnation) {
 			i.home.LoseHolder(r.Instance)
 		}
-		i.dead[r.Instance] = dead
+		delete(i.lives, r.Instance)
+		if !dead {
+			i.lives[r.Instance] = r.Incarnation
+		}
 	}
 }
--- a/instance/reserve/client.go
+++ b/instance/reserve/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	Remote func(address string) peer.Home
 	Stamp  func() *peer.Stamp
 	Seen   func(s *peer.Stamp)
+	// Failed hears of each home that did not answer.
+	Failed func(home id.Instance)
 
 	mu    sync.Mutex
 	view  *View
@@ -118,6 +121,15 @@
 	}
 }
 
+// drawnBy makes equal requests ask the same homes, which can then keep copies
+// of a request that may crash upstreams apart.
+func drawnBy(need queue.Arrived) id.Reservation {
+	if need.Fingerprint == 0 {
+		return need.Reservation
+	}
+	return id.Reservation(strconv.FormatUint(uint64(need.Fingerprint), 16))
+}
+
 // order lists the homes to ask, best first.
 func (c *Client) order(need queue.Arrived) []candidate {
 	c.mu.Lock()
@@ -128,7 +140,7 @@
 	class, _ := c.view.Index.Class(need.Class)
 	choice := home.Choice{
 		FailureDomain: c.FailureDomain,
-		Reservation:   need.Reservation,
+		Reservation:   drawnBy(need),
 		Homes:         c.view.Placement.Pools[need.Pool],
 		Loads:         c.loads.of(need.Pool, class.Tier, time.Now()),
 	}
--- a/instance/reserve/race.go
+++ b/instance/reserve/race.go
@@ -136,6 +136,7 @@
 // refused for good.
 func (r *race) hear(d decided) (*dispatch.Grant, bool) {
 	if d.err != nil {
+		r.client.Failed(d.home)
 		klog.V(2).InfoS("home did not answer", "request", r.need.Request, "home", d.home, "err", d.err)
 		return nil, false
 	}
--- a/instance/reserve/reserve_test.go
+++ b/instance/reserve/reserve_test.go
@@ -131,8 +131,9 @@
 			}
 			return b
 		},
-		Stamp: func() *peer.Stamp { return &peer.Stamp{} },
-		Seen:  func(*peer.Stamp) {},
+		Stamp:  func() *peer.Stamp { return &peer.Stamp{} },
+		Seen:   func(*peer.Stamp) {},
+		Failed: func(id.Instance) {},
 	}
 	w.client.Init()
 	w.update("a", "b")
--- a/instance/reserve/sender.go
+++ b/instance/reserve/sender.go
@@ -50,6 +50,7 @@
 func (s *sender) end(ctx context.Context, f finished) {
 	delete(s.busy, f.task)
 	if f.err != nil && ctx.Err() == nil {
+		s.client.Failed(f.task.home)
 		klog.V(1).InfoS("home did not answer", "work", f.task.work, "home", f.task.home, "err", f.err)
 	}
 	if f.task.work == workRelease {
