config: let the demo apply the sample manifest

The demo and the experiments built a manifest of their own, so the sample for the Trust was never run. Embed the samples in a small package; make the cluster apply the Trust's with only the addresses replaced by those of the stand-ins, whose sizes come from the manifest's capacities, and use its published keys. The sample takes over the figures that the scenarios were built for (targets, deadlines, 8 slots, 400 decode tokens/s). Its limits stay above what any scenario sends, so they are exercised without binding.

--- a/bench/cluster/cluster_test.go
+++ b/bench/cluster/cluster_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"samphirehead/bench/cluster"
+	"samphirehead/config"
 	"samphirehead/state/manifest"
 	"samphirehead/state/settings"
 )
@@ -105,9 +107,24 @@
 	return c, f
 }
 
+// checkSample checks that m is the sample manifest but for the addresses.
+func checkSample(t *testing.T, m *manifest.Manifest) {
+	t.Helper()
+	want, err := manifest.Parse("trust.yaml", config.Trust())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range manifest.Diff(want, m) {
+		if !strings.Contains(change.String(), ".address ") {
+			t.Errorf("not the sample: %s", change)
+		}
+	}
+}
+
 func TestStartAppliesAManifestOfTheTrustsSize(t *testing.T) {
 	c, f := start(t)
 	m := f.manifest
+	checkSample(t, m)
 	if len(c.Nodes()) != 4 || len(m.Upstreams) != 23 || len(m.Workspaces) != 10 {
 		t.Errorf("%d instances, %d upstreams, %d workspaces", len(c.Nodes()), len(m.Upstreams), len(m.Workspaces))
 	}
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -37,8 +37,8 @@
 func (*demoCommand) Usage() string {
 	return "demo [-duration D] [-keep] [-json]\n\n" +
 		"Runs four instances, twenty engines, three service workers and the platform's\n" +
-		"stand-in in this process over loopback TCP, applies a manifest, runs a mixed\n" +
-		"load, and prints how each class fared.\n\n"
+		"stand-in in this process over loopback TCP, applies the sample manifest, runs a\n" +
+		"mixed load, and prints how each class fared.\n\n"
 }
 
 func (d *demoCommand) SetFlags(f *flag.FlagSet) {
