--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -27,7 +27,7 @@
 	DefaultReadsPerSecond  = 2000
 	DefaultTimeout         = 400 * time.Millisecond
 	DefaultHedgeAfter      = 100 * time.Millisecond
-	DefaultOpenFor         = time.Second
+	DefaultOpenFor         = 250 * time.Millisecond
 
 	tripAfterFailures = 5
 	idleConnections   = 64
