caller: bound what slow clients hold before they are known, and outlive panics

A client without a valid key that sent its body slowly held its connection for ever: net/http waits for the body before it sends the refusal, and the limit on reads began only with the reading of the body. A client that never read its refusals held it too, as they had no limit on writes. A panic cut the connection and was printed outside the log.

Limit reads and writes from a request's start, give every answer a request id, log a panic under it and answer "unknown" unless the answer has begun; a begun one is cut. Tests run net/http over in-memory connections under a bubble's clock: a slow body is held 30 s with a key and 1 s without one; without these limits the test deadlocks.

--- a/protocol/answer/answer.go
+++ b/protocol/answer/answer.go
@@ -43,6 +43,7 @@
 	ReasonUpstream     Reason = "upstream_failed"
 	ReasonCancelled    Reason = "cancelled"
 	ReasonPending      Reason = "in_progress"
+	ReasonInternal     Reason = "internal_error"
 )
 
 // Status returns the HTTP status that goes with r.
@@ -68,6 +69,8 @@
 		return http.StatusGatewayTimeout
 	case ReasonUpstream:
 		return http.StatusBadGateway
+	case ReasonInternal:
+		return http.StatusInternalServerError
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/transport/caller/chat.go
+++ b/transport/caller/chat.go
@@ -4,11 +4,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"samphirehead/protocol/answer"
 	"samphirehead/protocol/openai"
@@ -22,7 +22,7 @@
 		urls[i] = "http://" + a
 	}
 	s.setHeaders(w, "")
-	writeJSON(w, http.StatusOK, struct {
+	s.writeJSON(w, http.StatusOK, struct {
 		Entries         []string           `json:"entries"`
 		LifetimeMs      int64              `json:"lifetime_ms"`
 		ManifestVersion id.ManifestVersion `json:"manifest_version"`
@@ -31,7 +31,7 @@
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, ws id.Workspace) {
 	arrived := time.Now()
-	request := newRequestID(w)
+	request := requestID(w)
 	body, failure := s.readBody(w, r)
 	if failure != nil {
 		s.refuse(w, *failure)
@@ -56,23 +56,19 @@
 	s.whole(w, r, g)
 }
 
-func newRequestID(w http.ResponseWriter) id.Request {
-	request := uuid.NewString()
-	w.Header().Set(HeaderRequestID, request)
-	return id.Request(request)
-}
-
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *answer.Failure) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(s.BodyTimeout))
+	limitRead(w, s.BodyTimeout)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		return body, nil
 	}
+	// The time limit on reads stays, for what is left of the body.
 	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 		return nil, &answer.Failure{Reason: answer.ReasonTooLarge, Message: "the body is larger than this instance takes"}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &answer.Failure{Reason: answer.ReasonBadRequest, Message: "the body did not arrive in time"}
+	}
 	return nil, &answer.Failure{Reason: answer.ReasonBadRequest, Message: "the body could not be read"}
 }
 
@@ -112,8 +108,7 @@
 		return
 	}
 	s.setHeaders(w, answer.OutcomeCompleted)
-	s.extendWriteDeadline(w)
-	writeJSON(w, http.StatusOK, sink.completion(g))
+	s.writeJSON(w, http.StatusOK, sink.completion(g))
 }
 
 // wholeSink gathers an answer.
--- /dev/null
+++ b/transport/caller/guard.go
@@ -0,0 +1,81 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"samphirehead/protocol/answer"
+	"samphirehead/state/id"
+)
+
+// unreadTimeout bounds the wait for the body of a request that is refused
+// without reading it.
+const unreadTimeout = time.Second
+
+// response notes whether the answer has begun.
+type response struct {
+	http.ResponseWriter
+	begun bool
+}
+
+func (r *response) WriteHeader(status int) {
+	r.begun = true
+	r.ResponseWriter.WriteHeader(status)
+}
+
+func (r *response) Write(b []byte) (int, error) {
+	r.begun = true
+	return r.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (r *response) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// guarded gives each request an id, bounds what a slow client can hold, also
+// before it is authenticated, and outlives a panic.
+func (s *Server) guarded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w := &response{ResponseWriter: out}
+		w.Header().Set(HeaderRequestID, uuid.NewString())
+		s.extendWriteDeadline(w)
+		// Without a body the server reads on to see the client go; a limit
+		// would count as its going.
+		if r.Body != http.NoBody {
+			limitRead(w, unreadTimeout)
+		}
+		defer func() {
+			if v := recover(); v != nil {
+				s.panicked(w, v)
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// limitRead bounds from now on the reading of what is left of a request's body.
+// At its end net/http lifts the limit by itself.
+func limitRead(w http.ResponseWriter, limit time.Duration) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
+}
+
+func requestID(w http.ResponseWriter) id.Request {
+	return id.Request(w.Header().Get(HeaderRequestID))
+}
+
+// panicked ends a request whose handler panicked. What was sent by then is not
+// known; an answer that has begun is cut, so that it can't pass for a whole one.
+func (s *Server) panicked(w *response, v any) {
+	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		klog.ErrorS(fmt.Errorf("panic: %v", v), "request panicked", "request", requestID(w), "stack", string(debug.Stack()))
+	}
+	if w.begun {
+		panic(http.ErrAbortHandler)
+	}
+	s.fail(w, answer.Unknown{Failure: answer.Failure{Reason: answer.ReasonInternal, Message: "the instance failed at this request"}})
+}
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -104,6 +104,7 @@
 }
 
 // Handler returns the server's HTTP handler. The fields must be set before.
+// Limits on headers and connections belong to the http.Server around it.
 func (s *Server) Handler() http.Handler {
 	s.slots = make(chan struct{}, s.MaxConcurrent)
 	mux := http.NewServeMux()
@@ -114,7 +115,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.refuse(w, answer.Failure{Reason: answer.ReasonNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return mux
+	return s.guarded(mux)
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, ws id.Workspace)
--- /dev/null
+++ b/transport/caller/server_test.go
@@ -0,0 +1,191 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/protocol/answer"
+	"samphirehead/transport/caller"
+)
+
+// answers generates nothing and completes.
+func answers(context.Context, caller.Sink) answer.Result { return answer.Completed{} }
+
+func TestSlowBodiesAreTimedOut(t *testing.T) {
+	for _, c := range []struct {
+		name, key, code string
+		status          int
+		held            time.Duration
+	}{
+		{"known key", "key", "bad_request", http.StatusBadRequest, bodyTimeout},
+		{"unknown key", "guess", "unauthorized", http.StatusUnauthorized, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			serve(t, &backend{generate: answers}, func(dial func() net.Conn) {
+				began := time.Now()
+				client := dial()
+				send(t, client, request(c.key, "{", maxBody))
+				read(t, client).check(t, c.status, c.code, "not_run")
+				if took := time.Since(began); took != c.held {
+					t.Errorf("held for %v, want %v", took, c.held)
+				}
+				if _, err := io.Copy(io.Discard, client); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// TestCallersMayWaitForLong checks that a caller who sent its whole request may
+// wait for its answer for longer than a body may take.
+func TestCallersMayWaitForLong(t *testing.T) {
+	b := &backend{generate: func(ctx context.Context, _ caller.Sink) answer.Result {
+		select {
+		case <-ctx.Done():
+			t.Error("cancelled")
+		case <-time.After(10 * bodyTimeout):
+		}
+		return answer.Completed{}
+	}}
+	for _, text := range []string{
+		request("key", wholeChat, len(wholeChat)),
+		"GET /v1/outcomes/k HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key\r\n\r\n",
+	} {
+		serve(t, b, func(dial func() net.Conn) {
+			client := dial()
+			send(t, client, text)
+			read(t, client).check(t, http.StatusOK, "", "completed")
+		})
+	}
+}
+
+// TestSlowReadersAreTimedOut checks that a caller who stops reading ends its
+// generation, and that one who reads on slowly does not.
+func TestSlowReadersAreTimedOut(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pause time.Duration
+		whole bool
+	}{
+		{"reads every 15 s", 15 * time.Second, true},
+		{"does not read", time.Hour, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const events = 20
+			delivered := 0
+			b := &backend{generate: func(_ context.Context, sink caller.Sink) answer.Result {
+				for range events {
+					if sink.Deliver(event(100)) != nil {
+						return answer.Unknown{Failure: answer.Failure{Reason: answer.ReasonCancelled}}
+					}
+					delivered++
+				}
+				return answer.Completed{}
+			}}
+			serve(t, b, func(dial func() net.Conn) {
+				client := dial()
+				send(t, client, request("key", streamChat, len(streamChat)))
+				buf := make([]byte, 4<<10)
+				for {
+					time.Sleep(c.pause)
+					n, err := client.Read(buf)
+					if err != nil || strings.Contains(string(buf[:n]), "[DONE]") {
+						break
+					}
+				}
+			})
+			if whole := delivered == events; whole != c.whole {
+				t.Errorf("%d of %d events delivered", delivered, events)
+			}
+		})
+	}
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	serve(t, &backend{generate: answers}, func(dial func() net.Conn) {
+		client := dial()
+		go func() { _, _ = io.WriteString(client, request("key", strings.Repeat("x", maxBody+1), maxBody+1)) }()
+		read(t, client).check(t, http.StatusRequestEntityTooLarge, "too_large", "not_run")
+	})
+}
+
+func TestConcurrencyIsBounded(t *testing.T) {
+	release := make(chan struct{})
+	b := &backend{generate: func(context.Context, caller.Sink) answer.Result {
+		<-release
+		return answer.Completed{}
+	}}
+	serve(t, b, func(dial func() net.Conn) {
+		release = make(chan struct{})
+		clients := []net.Conn{dial(), dial()}
+		for _, c := range clients {
+			send(t, c, request("key", wholeChat, len(wholeChat)))
+		}
+		synctest.Wait()
+		third := dial()
+		send(t, third, request("key", wholeChat, len(wholeChat)))
+		got := read(t, third)
+		got.check(t, http.StatusTooManyRequests, "overloaded", "not_run")
+		if got.header.Get("Retry-After") != "1" {
+			t.Errorf("Retry-After %q", got.header.Get("Retry-After"))
+		}
+		close(release)
+		for _, c := range clients {
+			read(t, c).check(t, http.StatusOK, "", "completed")
+		}
+		again := dial()
+		send(t, again, request("key", wholeChat, len(wholeChat)))
+		read(t, again).check(t, http.StatusOK, "", "completed")
+	})
+}
+
+// TestPanicsAreOutlived lets more requests panic than there are slots.
+func TestPanicsAreOutlived(t *testing.T) {
+	calls := 0
+	b := &backend{generate: func(_ context.Context, sink caller.Sink) answer.Result {
+		calls++
+		if calls > 6 {
+			return answer.Completed{}
+		}
+		if calls%2 == 0 {
+			_ = sink.Deliver(event(1))
+		}
+		panic("test")
+	}}
+	var logged bytes.Buffer
+	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(&logged, nil)))
+	t.Cleanup(klog.ClearLogger)
+	serve(t, b, func(dial func() net.Conn) {
+		for range 3 {
+			client := dial()
+			send(t, client, request("key", streamChat, len(streamChat)))
+			read(t, client).check(t, http.StatusInternalServerError, "internal_error", "unknown")
+			begun := dial()
+			send(t, begun, request("key", streamChat, len(streamChat)))
+			text, err := io.ReadAll(begun)
+			if err != nil || !strings.Contains(string(text), "data: a\n") || strings.Contains(string(text), "[DONE]") {
+				t.Errorf("%v in %s", err, text)
+			}
+			if strings.HasSuffix(string(text), "\r\n0\r\n\r\n") {
+				t.Error("the cut answer ends as a whole one does")
+			}
+		}
+		client := dial()
+		send(t, client, request("key", wholeChat, len(wholeChat)))
+		read(t, client).check(t, http.StatusOK, "", "completed")
+	})
+	if n := strings.Count(logged.String(), `"msg":"request panicked"`); n != 6 {
+		t.Errorf("%d panics logged in %s", n, &logged)
+	}
+}
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -14,7 +14,7 @@
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request, ws id.Workspace) {
 	arrived := time.Now()
-	request := newRequestID(w)
+	request := requestID(w)
 	body, failure := s.readBody(w, r)
 	if failure != nil {
 		s.refuse(w, *failure)
@@ -40,7 +40,7 @@
 func (s *Server) outcome(w http.ResponseWriter, r *http.Request, ws id.Workspace) {
 	q := r.URL.Query()
 	result, out := s.Backend.Outcome(r.Context(), ServiceCall{
-		Request:        newRequestID(w),
+		Request:        requestID(w),
 		Workspace:      ws,
 		Service:        id.Service(q.Get("service")),
 		Method:         q.Get("method"),
--- a/transport/caller/write.go
+++ b/transport/caller/write.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"samphirehead/protocol/answer"
 	"samphirehead/protocol/openai"
 )
@@ -43,6 +45,7 @@
 
 // refuse answers a request of which nothing was sent.
 func (s *Server) refuse(w http.ResponseWriter, f answer.Failure) {
+	klog.V(1).InfoS("request refused", "request", requestID(w), "reason", f.Reason)
 	var nothing answer.Progress
 	s.fail(w, nothing.End(f))
 }
@@ -55,7 +58,7 @@
 		seconds := int(math.Ceil(f.RetryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
-	writeJSON(w, f.Reason.Status(), failureBody(f, o))
+	s.writeJSON(w, f.Reason.Status(), failureBody(f, o))
 }
 
 // explain returns why a result is not Completed, and what to tell the caller.
@@ -78,7 +81,8 @@
 	}
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+func (s *Server) writeJSON(w http.ResponseWriter, status int, body any) {
+	s.extendWriteDeadline(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// A failed write means that the caller is gone; nobody is left to tell.
