--- a/coordination/queue/bench_test.go
+++ b/coordination/queue/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/suspect"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
 )
@@ -23,7 +24,7 @@
 }
 
 func benchmarkTurn(b *testing.B, holders, workspaces int) {
-	q := queue.Queue{}
+	q := queue.Queue{Suspects: &suspect.Tracker{}}
 	quick, dossier := class("quick", 1, 0), class("dossier", 2, 0.1)
 	quick.QueueBound, dossier.QueueBound = 1<<20, 1<<20
 	var upstreams []queue.Upstream
@@ -42,6 +43,7 @@
 		a := request(next, []id.Class{"quick", "dossier"}[next%2], names[next%workspaces])
 		a.Holder = id.Instance(fmt.Sprintf("i%d", next%holders))
 		a.MustNotPreempt = true
+		a.Fingerprint = id.Fingerprint(next + 1)
 		next++
 		for _, g := range granted(q.Step(now, a)) {
 			running = append(running, g.Reservation)
--- a/coordination/queue/configure.go
+++ b/coordination/queue/configure.go
@@ -59,7 +59,7 @@
 }
 
 func newWorker() *worker {
-	w := &worker{running: map[id.Reservation]*running{}}
+	w := &worker{running: map[id.Reservation]*running{}, fingerprints: map[id.Fingerprint]int{}}
 	w.preemptible.less = losesLess
 	w.preemptible.place = func(r *running, i int) { r.preemptIndex = i }
 	return w
--- a/coordination/queue/dispatch.go
+++ b/coordination/queue/dispatch.go
@@ -190,8 +190,9 @@
 func (q *Queue) place(s *search, w *waiter, hold bool) *worker {
 	var best, roomiest *worker
 	var least time.Duration
+	alone := q.isolation(s.now, w.Fingerprint)
 	for _, u := range s.pool.workers {
-		if u.Free(s.now) == 0 || !u.admits(w) || slices.Contains(s.held, u) || !q.apart(s.now, w, u) {
+		if u.Free(s.now) == 0 || !u.admits(w) || slices.Contains(s.held, u) || !q.apart(s.now, alone, u) {
 			continue
 		}
 		if q.tooLarge(s, w, u) {
--- a/coordination/queue/gate.go
+++ b/coordination/queue/gate.go
@@ -122,25 +122,40 @@
 	return q.Suspects != nil && f != 0 && q.Suspects.Verdict(now, f) == suspect.Suspected
 }
 
-// apart reports whether w may run beside what u runs: a suspect runs beside no
-// other suspect, and no two requests of an unproven fingerprint run together.
-func (q *Queue) apart(now time.Time, w *waiter, u *worker) bool {
-	if q.Suspects == nil || w.Fingerprint == 0 {
-		return true
+// isolation says what a request may not run beside.
+type isolation struct {
+	fingerprint id.Fingerprint
+	// never forbids every upstream.
+	never bool
+	// unproven requests run beside no equal one.
+	unproven bool
+	// suspect requests run beside no other suspect.
+	suspect bool
+}
+
+func (q *Queue) isolation(now time.Time, f id.Fingerprint) isolation {
+	if q.Suspects == nil || f == 0 {
+		return isolation{}
 	}
-	limit := q.copyLimit(now, w.Fingerprint)
-	if limit == suspect.Unlimited {
-		return true
+	limit := q.copyLimit(now, f)
+	return isolation{
+		fingerprint: f,
+		never:       limit == 0,
+		unproven:    limit < suspect.Unlimited,
+		suspect:     q.suspected(now, f),
 	}
-	if limit == 0 {
+}
+
+// apart reports whether a request with the given isolation may run at u.
+func (q *Queue) apart(now time.Time, i isolation, u *worker) bool {
+	if i.never || (i.unproven && u.fingerprints[i.fingerprint] > 0) {
 		return false
 	}
-	doubtful := q.suspected(now, w.Fingerprint)
-	for _, r := range u.running {
-		if r.Fingerprint == w.Fingerprint {
-			return false
-		}
-		if doubtful && q.suspected(now, r.Fingerprint) {
+	if !i.suspect {
+		return true
+	}
+	for f := range u.fingerprints {
+		if q.suspected(now, f) {
 			return false
 		}
 	}
--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -115,6 +115,8 @@
 	crashedAt time.Time
 	// running has all granted work by reservation.
 	running map[id.Reservation]*running
+	// fingerprints counts the granted work by fingerprint, but 0.
+	fingerprints map[id.Fingerprint]int
 }
 
 // running is a granted reservation.
--- a/coordination/queue/running.go
+++ b/coordination/queue/running.go
@@ -40,7 +40,7 @@
 	q.renew(now, r)
 	r.checkAt = r.leaseEnd
 	q.running[r.Reservation] = r
-	u.running[r.Reservation] = r
+	u.hold(r)
 	q.leases.push(r)
 	if u.Resumes && !r.MustNotPreempt && !r.kept {
 		u.preemptible.push(r)
@@ -186,7 +186,7 @@
 	r.ended = true
 	q.leases.remove(r.leaseIndex)
 	delete(q.running, r.Reservation)
-	delete(u.running, r.Reservation)
+	u.letGo(r)
 	if r.preemptIndex >= 0 {
 		u.preemptible.remove(r.preemptIndex)
 	}
@@ -283,6 +283,24 @@
 	q.leases.fix(r.leaseIndex)
 }
 
+func (u *worker) hold(r *running) {
+	u.running[r.Reservation] = r
+	if r.Fingerprint != 0 {
+		u.fingerprints[r.Fingerprint]++
+	}
+}
+
+func (u *worker) letGo(r *running) {
+	delete(u.running, r.Reservation)
+	if r.Fingerprint == 0 {
+		return
+	}
+	u.fingerprints[r.Fingerprint]--
+	if u.fingerprints[r.Fingerprint] == 0 {
+		delete(u.fingerprints, r.Fingerprint)
+	}
+}
+
 func (u *worker) sortedRunning() []*running {
 	return slices.SortedFunc(maps.Values(u.running), func(a, b *running) int {
 		return cmp.Compare(a.Reservation, b.Reservation)
