instance: learn known crashes before taking part, and expire claims

Change: a starting instance asks ready members for the crashes that they know of before it is named as an entry or a home. Old claims are deleted under a lease.

--- a/instance/callers.go
+++ b/instance/callers.go
@@ -67,7 +67,9 @@
 }
 
 // current reports whether the newest manifest that is known of is in force.
-func (i *Instance) current() bool { return i.Index() != nil && !i.manifests.Behind() }
+func (i *Instance) current() bool {
+	return i.Index() != nil && i.learnt.Load() && !i.manifests.Behind()
+}
 
 func (b *callerBackend) ManifestVersion() id.ManifestVersion { return (*Instance)(b).version() }
 
--- a/instance/callers_test.go
+++ b/instance/callers_test.go
@@ -85,6 +85,7 @@
 		{"unknown service", request{method: "GET", path: "/v1/services/x/status/1", key: testKey}, 404, "not_found"},
 		{"unknown route", request{method: "DELETE", path: "/v1/services/desk/bookings", key: testKey}, 404, "not_found"},
 		{"no idempotency key", request{method: "POST", path: "/v1/services/desk/bookings", key: testKey}, 400, "idempotency_key_missing"},
+		{"too long an idempotency key", request{method: "POST", path: "/v1/services/desk/bookings", key: testKey, header: map[string]string{"Idempotency-Key": strings.Repeat("k", 256)}}, 400, "bad_request"},
 		{"workspace without the class", request{method: "GET", path: "/v1/services/desk/status/1", key: otherKey}, 403, "forbidden"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -74,6 +74,9 @@
 	if route.Semantics == manifest.AtMostOnce && in.IdempotencyKey == "" {
 		return nil, &answer.Failure{Reason: answer.ReasonKeyMissing, Message: "the route runs at most once and needs an Idempotency-Key header"}
 	}
+	if len(in.IdempotencyKey) > claim.MaxIdempotencyKeyBytes {
+		return nil, &answer.Failure{Reason: answer.ReasonBadRequest, Message: "the Idempotency-Key header is longer than 255 bytes"}
+	}
 	class, _ := x.Class(route.Class)
 	return &serviceCall{entry: e, in: in, route: route, class: class, wait: -1, need: queue.Arrived{
 		Request:        in.Request,
--- a/instance/homes/home.go
+++ b/instance/homes/home.go
@@ -168,6 +168,13 @@
 	h.Queue.Suspects.Step(time.Now(), ev)
 }
 
+// Crashes returns the crashes that count at now.
+func (h *Home) Crashes(now time.Time) []suspect.Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Queue.Suspects.Records(now)
+}
+
 // Held counts the reservations that wait or are in use here.
 func (h *Home) Held() int {
 	h.mu.Lock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,6 +72,10 @@
 	lives map[id.Instance]id.Incarnation
 	// inFlight counts callers' requests in progress.
 	inFlight atomic.Int64
+	// learnt is set once the crashes that others know of are known here.
+	learnt atomic.Bool
+	// learntNow receives when learnt is set.
+	learntNow chan struct{}
 	// cacheSequences holds how far the engines' cache events were read.
 	cacheSequences sequences
 	// calls holds calls for the background.
@@ -102,6 +106,7 @@
 		}
 	}
 	i.incarnation = id.Incarnation(time.Now().UnixNano())
+	i.learntNow = make(chan struct{}, 1)
 	i.lives = make(map[id.Instance]id.Incarnation)
 	i.calls = make(chan func(context.Context) error, queuedBackground)
 	i.leaving.init()
@@ -240,7 +245,9 @@
 		{"load reports", i.readReports},
 		{"reconfiguration", i.watch},
 		{"calls in the background", i.runBackground},
+		{"known crashes", i.learn},
 		{"leaving", i.runLeaving},
+		{"expiry of claims", i.expireClaims().Run},
 		{"callers", func(ctx context.Context) error { return serveHTTP(ctx, i.callers, i.callerServer()) }},
 		{"peers", func(ctx context.Context) error { return serveHTTP(ctx, i.peers, i.peerServer()) }},
 		{"operators", func(ctx context.Context) error { return serveHTTP(ctx, i.operators, i.operatorServer()) }},
@@ -308,9 +315,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			i.members.Update(i.version(), i.headroom())
+			i.members.Update(i.published(), i.headroom())
 			continue
 		case <-i.members.Changed():
+		case <-i.learntNow:
 		case <-i.manifests.Changed():
 			i.takeManifest()
 		}
--- /dev/null
+++ b/instance/learn.go
@@ -0,0 +1,115 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/member"
+	"samphirehead/coordination/suspect"
+	"samphirehead/instance/atmostonce"
+	"samphirehead/instance/leases"
+	wire "samphirehead/protocol/peer"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+)
+
+const (
+	learnInterval = 100 * time.Millisecond
+	// learnTimeout is how long an instance that starts looks for others that
+	// know of crashes before it takes part without.
+	learnTimeout = 3 * time.Second
+)
+
+// learn asks a ready instance for the crashes that it knows of, so that a
+// request which crashes upstreams stays quarantined when homes are replaced.
+func (i *Instance) learn(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	ticker := time.NewTicker(learnInterval)
+	defer ticker.Stop()
+	for !i.learnOnce(bounded) && bounded.Err() == nil {
+		select {
+		case <-bounded.Done():
+		case <-ticker.C:
+		}
+	}
+	i.learnt.Store(true)
+	i.learntNow <- struct{}{}
+	<-ctx.Done()
+	return nil
+}
+
+// learnOnce reports whether an instance that is ready told what it knows, or
+// all that the platform lists did: then all are starting.
+func (i *Instance) learnOnce(ctx context.Context) bool {
+	told := make(map[id.Instance]bool)
+	for _, r := range i.members.Live() {
+		if r.Instance == i.Settings.Instance {
+			continue
+		}
+		if err := i.learnFrom(ctx, r); err != nil {
+			klog.V(1).InfoS("crashes not learnt", "err", err)
+			continue
+		}
+		if r.Manifest > 0 {
+			return true
+		}
+		told[r.Instance] = true
+	}
+	listed, err := i.listMembers(ctx)
+	if err != nil {
+		return false
+	}
+	return !slices.ContainsFunc(listed, func(r member.Record) bool {
+		return r.Instance != i.Settings.Instance && !told[r.Instance]
+	})
+}
+
+func (i *Instance) learnFrom(ctx context.Context, r member.Record) error {
+	answer, err := i.clients.Control(r.PeerAddress).Crashes(ctx, &wire.CrashesRequest{Stamp: i.stamp()})
+	if err != nil {
+		return fault.At("learn crashes", string(r.Instance), err)
+	}
+	now := time.Now()
+	records := make([]suspect.Record, len(answer.Crashes))
+	for n, c := range answer.Crashes {
+		records[n] = suspect.Record{
+			Fingerprint: id.Fingerprint(c.Fingerprint),
+			Upstream:    id.Upstream(c.Upstream),
+			Request:     id.Request(c.Request),
+			At:          now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
+		}
+	}
+	i.home.Hear(suspect.Heard{Records: records})
+	return nil
+}
+
+// Crashes tells an instance that starts what is known here.
+func (c *controlServer) Crashes(_ context.Context, r *wire.CrashesRequest) (*wire.CrashesResponse, error) {
+	i := (*Instance)(c)
+	i.seen(r.Stamp)
+	now := time.Now()
+	out := &wire.CrashesResponse{Stamp: i.stamp()}
+	for _, known := range i.home.Crashes(now) {
+		out.Crashes = append(out.Crashes, &wire.Crash{
+			Fingerprint: uint64(known.Fingerprint),
+			Upstream:    string(known.Upstream),
+			Request:     string(known.Request),
+			AgeUs:       now.Sub(known.At).Microseconds(),
+		})
+	}
+	return out, nil
+}
+
+// expireClaims deletes old claims, at one instance at a time.
+func (i *Instance) expireClaims() *leases.Lease {
+	return &leases.Lease{
+		Name:  "claim-expiry",
+		Self:  i.Settings.Instance,
+		Table: i.platform,
+		Work:  func(ctx context.Context) { atmostonce.Expire(ctx, i.platform) },
+	}
+}
--- a/instance/reconfigure.go
+++ b/instance/reconfigure.go
@@ -16,7 +16,7 @@
 	if index == nil {
 		return
 	}
-	i.members.Update(i.version(), i.headroom())
+	i.members.Update(i.published(), i.headroom())
 	records := i.members.Records()
 	placement := home.Place(homeUpstreams(index), records)
 	i.home.Configure(index.Manifest.Classes, i.owned(index, placement))
@@ -32,6 +32,15 @@
 	i.loseHolders(records)
 }
 
+// published is the version that other instances hear of: 0 while this one must
+// not be a home or an entry yet.
+func (i *Instance) published() id.ManifestVersion {
+	if !i.learnt.Load() {
+		return 0
+	}
+	return i.version()
+}
+
 // headroom is the free share of the requests that the instance may carry.
 func (i *Instance) headroom() float64 {
 	most := float64(i.Settings.Limits.MaxConcurrentRequests)
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -58,6 +58,10 @@
 	return &wire.DrainResponse{}, nil
 }
 
+func (*instance) Crashes(context.Context, *wire.CrashesRequest) (*wire.CrashesResponse, error) {
+	return &wire.CrashesResponse{}, nil
+}
+
 func (*instance) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
 	return &wire.StatusResponse{}, nil
 }
