queue: refuse waiters at once when a quarantine is heard of

The shell hands records of other instances to the tracker directly. Waiting requests of a fingerprint that this quarantined were never granted, but were answered only at their deadline. Each step now checks for new quarantines.

--- a/coordination/queue/faults_test.go
+++ b/coordination/queue/faults_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/suspect"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
 )
@@ -263,3 +264,30 @@
 		{0, released("r1", 900), []queue.Effect{grant("r2", "e0")}},
 	})
 }
+
+func TestQuarantineHeardOfAnswersWaiters(t *testing.T) {
+	tracker := &suspect.Tracker{}
+	q := &queue.Queue{Suspects: tracker}
+	poisonous := func(n int) queue.Arrived {
+		return with(request(n, "quick", "w"), func(a *queue.Arrived) { a.Fingerprint = poison })
+	}
+	runSteps(t, q, []step{
+		{0, one(engine("e0", 1)), nil},
+		{0, request(1, "quick", "w"), []queue.Effect{grant("r1", "e0")}},
+		{0, poisonous(2), nil},
+		{0, poisonous(3), nil},
+		{0, poisonous(4), nil},
+	})
+	for _, u := range []id.Upstream{"e8", "e9"} {
+		record := suspect.Record{Fingerprint: poison, Upstream: u, Request: "q", At: start}
+		tracker.Step(start, suspect.Heard{Records: []suspect.Record{record}})
+	}
+	refused := pick[queue.Refused](q.Step(start, queue.Ticked{}))
+	if len(refused) != 3 {
+		t.Errorf("refused %+v, want the three that wait", refused)
+	}
+	got := granted(q.Step(start, released("r1", 5)))
+	if len(got) != 0 {
+		t.Errorf("granted %+v after the quarantine began", got)
+	}
+}
--- a/coordination/queue/gate.go
+++ b/coordination/queue/gate.go
@@ -93,11 +93,23 @@
 // track passes an event to the suspects' tracker and carries its effects out.
 func (q *Queue) track(now time.Time, ev suspect.Event) {
 	for _, effect := range q.Suspects.Step(now, ev) {
-		switch effect := effect.(type) {
-		case suspect.Spread:
-			q.emit(CrashSeen{effect.Records})
-		case suspect.QuarantineBegan:
-			q.refuseAll(now, effect.Fingerprint)
+		if spread, ok := effect.(suspect.Spread); ok {
+			q.emit(CrashSeen{spread.Records})
+		}
+	}
+	q.refuseQuarantined(now)
+}
+
+// refuseQuarantined refuses the waiters of fingerprints whose quarantine has
+// begun since the last look.
+func (q *Queue) refuseQuarantined(now time.Time) {
+	if q.Suspects == nil || q.begun == q.Suspects.Begun() {
+		return
+	}
+	q.begun = q.Suspects.Begun()
+	for _, w := range q.sortedWaiters() {
+		if q.copyLimit(now, w.Fingerprint) == 0 {
+			q.refuse(now, w, RefusedQuarantined, 0)
 		}
 	}
 }
@@ -110,14 +122,6 @@
 	}
 }
 
-func (q *Queue) refuseAll(now time.Time, f id.Fingerprint) {
-	for _, w := range q.sortedWaiters() {
-		if w.Fingerprint == f {
-			q.refuse(now, w, RefusedQuarantined, 0)
-		}
-	}
-}
-
 func (q *Queue) suspected(now time.Time, f id.Fingerprint) bool {
 	return q.Suspects != nil && f != 0 && q.Suspects.Verdict(now, f) == suspect.Suspected
 }
--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -78,6 +78,8 @@
 	// arrivals numbers waiters; dues numbers lines that became owed.
 	arrivals uint64
 	dues     uint64
+	// begun is the number of quarantines that the waiters were checked for.
+	begun int
 	// effects collects what the present step puts out.
 	effects []Effect
 }
@@ -213,9 +215,10 @@
 
 func (q *Queue) emit(e Effect) { q.effects = append(q.effects, e) }
 
-// advance does what is due by time: leases that lapse, targets and deadlines
-// that pass.
+// advance does what is due since the last step: leases that lapse, targets and
+// deadlines that pass, quarantines that the tracker began by itself.
 func (q *Queue) advance(now time.Time) {
+	q.refuseQuarantined(now)
 	for {
 		r, ok := q.leases.first()
 		if !ok || r.checkAt.After(now) {
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -109,6 +109,8 @@
 	quarantined *simplelru.LRU[id.Fingerprint, []Record]
 	// proven has when a request of the fingerprint last completed.
 	proven *simplelru.LRU[id.Fingerprint, time.Time]
+	// begun counts quarantines.
+	begun int
 }
 
 // Step applies ev at now and returns the effects to carry out, in order. A
@@ -153,6 +155,9 @@
 	return max(0, CrashLimit-n)
 }
 
+// Begun returns how many quarantines have begun so far.
+func (t *Tracker) Begun() int { return t.begun }
+
 // Records returns all crashes that count at now, for an instance that is new.
 func (t *Tracker) Records(now time.Time) []Record {
 	t.init()
@@ -219,6 +224,7 @@
 	}
 	t.suspects.Remove(f)
 	t.quarantined.Add(f, records)
+	t.begun++
 	return []Effect{QuarantineBegan{f}}
 }
 
