limit: pay debts from the share while the limit home is gone

Cause: a request that took the last credit below zero after a failed loan kept the entry from its own share for up to a second, with 250 requests of it free. Change: while the home can't be reached, debts move to the share.

--- a/coordination/limit/borrower.go
+++ b/coordination/limit/borrower.go
@@ -163,6 +163,9 @@
 // time of a loan, so that a first request need not wait for one.
 func (a *account) decide(now time.Time, rate, need Amount) BorrowerEffect {
 	exhausted := now.Before(a.exhausted)
+	if now.Before(a.unreachable) {
+		a.moveDebt()
+	}
 	switch {
 	case a.credit.covers(rate):
 		a.credit = a.credit.sub(need)
@@ -242,6 +245,12 @@
 	a.inFlight = false
 	a.owed = a.owed.add(a.reported)
 	a.unreachable = now.Add(unreachableFor)
+	a.moveDebt()
+}
+
+// moveDebt pays what was taken beyond the credit from the share, which counts
+// while the home can't be reached.
+func (a *account) moveDebt() {
 	debt := a.credit.atMost(Amount{})
 	a.credit = a.credit.sub(debt)
 	a.share.level = a.share.level.add(debt)
