callers: log the end of each request, and test the listeners' security

Only failed attempts were logged, so most requests had no line with their id. Write one line at the end of each (at debug) with request, workspace, class, outcome, reason and time, and one for each that is refused before it has a class.

Tests: every listener against every other listener's secret; a large header; eight kinds of bad streams from engines, which end as unknown and never as whole; all log lines of good and bad requests are JSON, carry id, workspace and class, and hold no key, secret, guessed secret or key digest.

--- a/instance/callers.go
+++ b/instance/callers.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"samphirehead/coordination/entries"
 	"samphirehead/protocol/answer"
 	"samphirehead/state/id"
@@ -99,11 +101,34 @@
 }
 
 func (b *callerBackend) Generate(ctx context.Context, g caller.Generation, sink caller.Sink) answer.Result {
-	return b.entry.Generate(ctx, g, sink)
+	result := b.entry.Generate(ctx, g, sink)
+	if klog.V(1).Enabled() {
+		class, _ := (*Instance)(b).Index().Classify(g.Workspace, g.Chat.PromptTokens, g.Class)
+		logEnd(g.Request, g.Workspace, class.Name, g.Arrived, result)
+	}
+	return result
 }
 
 func (b *callerBackend) Call(ctx context.Context, c caller.ServiceCall) (answer.Result, caller.ServiceAnswer) {
-	return b.entry.Call(ctx, c)
+	result, out := b.entry.Call(ctx, c)
+	if klog.V(1).Enabled() {
+		route, _ := (*Instance)(b).Index().Route(c.Service, c.Method, c.Path)
+		logEnd(c.Request, c.Workspace, route.Class, c.Arrived, result)
+	}
+	return result, out
+}
+
+// logEnd writes the last line of a request; the class is empty if it has none.
+func logEnd(request id.Request, workspace id.Workspace, class id.Class, arrived time.Time, result answer.Result) {
+	outcome, reason := answer.OutcomeCompleted, answer.Reason("")
+	switch r := result.(type) {
+	case answer.NotRun:
+		outcome, reason = answer.OutcomeNotRun, r.Failure().Reason
+	case answer.Unknown:
+		outcome, reason = answer.OutcomeUnknown, r.Reason
+	}
+	klog.V(1).InfoS("request ended", "request", request, "workspace", workspace, "class", class,
+		"outcome", outcome, "reason", reason, "took", time.Since(arrived))
 }
 
 func (b *callerBackend) Outcome(ctx context.Context, c caller.ServiceCall) (answer.Result, caller.ServiceAnswer) {
--- /dev/null
+++ b/instance/security_test.go
@@ -0,0 +1,272 @@
+package instance_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/standin/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/transport/operator"
+)
+
+// TestListenersRefuseWithoutTheirSecret tries every other secret at each
+// listener.
+func TestListenersRefuseWithoutTheirSecret(t *testing.T) {
+	f := newFixture(t, 8)
+	peerCall := "/twirp/samphirehead.peer.Control/Status"
+	for name, c := range map[string]struct {
+		address, method, path, header string
+		// wrong are values of the header that are refused.
+		wrong []string
+		right string
+	}{
+		"peers": {f.instance.PeerAddr(), "POST", peerCall, "X-Samphirehead-Peer",
+			[]string{"", testKey, "operator-secret", "peer-secret2", "peer-secre"}, "peer-secret"},
+		"operators": {f.instance.OperatorAddr(), "GET", "/v1/status", "Authorization",
+			[]string{"", "Bearer " + testKey, "Bearer peer-secret", "Bearer operator-secre", "Bearer", "Basic operator-secret"}, "Bearer operator-secret"},
+		"metrics": {f.instance.OperatorAddr(), "GET", "/debug/vars", "Authorization",
+			[]string{"", "Bearer " + testKey, "Bearer peer-secret"}, "Bearer operator-secret"},
+		"callers": {f.instance.CallerAddr(), "GET", "/v1/entries", "Authorization",
+			[]string{"", "Bearer peer-secret", "Bearer operator-secret", "Bearer " + digest(testKey)}, "Bearer " + testKey},
+	} {
+		t.Run(name, func(t *testing.T) {
+			try := func(value string) int {
+				return status(t, c.method, "http://"+c.address+c.path, c.header, value)
+			}
+			for _, value := range c.wrong {
+				if got := try(value); got != http.StatusUnauthorized {
+					t.Errorf("%q: %d", value, got)
+				}
+			}
+			if got := try(c.right); got != http.StatusOK {
+				t.Errorf("with the secret: %d", got)
+			}
+		})
+	}
+}
+
+// TestListenersServeTheirOwnPathsOnly asks the callers' listener for what the
+// others serve.
+func TestListenersServeTheirOwnPathsOnly(t *testing.T) {
+	f := newFixture(t, 8)
+	for _, path := range []string{"/v1/status", "/v1/manifest", "/debug/vars", "/debug/pprof/", "/twirp/samphirehead.peer.Control/Status"} {
+		if got := status(t, "GET", "http://"+f.instance.CallerAddr()+path, "Authorization", "Bearer operator-secret"); got != http.StatusNotFound {
+			t.Errorf("%s: %d", path, got)
+		}
+	}
+}
+
+func TestHeadersAreBounded(t *testing.T) {
+	f := newFixture(t, 8)
+	got := status(t, "GET", "http://"+f.instance.CallerAddr()+"/v1/entries", "X-Large", strings.Repeat("x", 1<<20))
+	if got != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d", got)
+	}
+	f.checkServing(t)
+}
+
+func status(t *testing.T, method, url, header, value string) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(header, value)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (f *fixture) checkServing(t *testing.T) {
+	t.Helper()
+	got := f.do(t, request{method: "POST", path: "/v1/chat/completions", key: testKey, body: chatBody(false, "still serving", 2)})
+	if got.status != http.StatusOK {
+		t.Errorf("a good request afterwards: %d %s", got.status, got.body)
+	}
+}
+
+// addEngines puts engines into the manifest, each for a model of its own:
+// broken-0 and so on.
+func (f *fixture) addEngines(t *testing.T, addresses []string) {
+	t.Helper()
+	m := f.manifest(8)
+	for i, address := range addresses {
+		name := fmt.Sprintf("broken-%d", i)
+		m.Models = append(m.Models, manifest.Model{Name: id.Model(name)})
+		m.Upstreams = append(m.Upstreams, manifest.Upstream{
+			Name: id.Upstream(name), Address: address, FailureDomain: "east", Kind: manifest.KindEngine, Models: []id.Model{id.Model(name)}, Resumes: true,
+			Capacity: manifest.Capacity{Slots: 8, PrefillTokensPerSecond: 1e6, DecodeTokensPerSecond: 1e6, KVTokens: 1 << 30},
+		})
+	}
+	yaml, err := m.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := f.operator().Apply(t.Context(), operator.Submission{Base: 1, YAML: yaml, Operation: "second"})
+	if _, ok := result.(operator.Accepted); !ok || err != nil {
+		t.Fatal(result, err)
+	}
+}
+
+// TestBadStreamsAreOutlived lets an engine answer what is no whole answer.
+func TestBadStreamsAreOutlived(t *testing.T) {
+	const done = "data: [DONE]\n\n"
+	answers := []string{
+		"",
+		"no events at all",
+		"data: {\n\n" + done,
+		`data: {"id":"another request","choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}` + "\n\n" + done,
+		`data: {"id":"REQUEST","choices":[{"delta":{"content":"a"}}]}` + "\n\n" + done,
+		"id: 7\n" + `data: {"id":"REQUEST","choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}` + "\n\n" + done,
+		"data: " + strings.Repeat("x", 1<<20),
+		"\x00\xff\n\n\n" + done,
+	}
+	engine := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		for i, a := range answers {
+			if strings.Contains(string(body), fmt.Sprintf("case-%d ", i)) {
+				_, _ = io.WriteString(w, strings.ReplaceAll(a, "REQUEST", r.Header.Get("X-Request-Id")))
+			}
+		}
+	})
+	var addresses []string
+	for range 2 * len(answers) {
+		server := httptest.NewServer(engine)
+		defer server.Close()
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	f := newFixture(t, 8)
+	f.addEngines(t, addresses)
+	for i := range addresses {
+		// An engine that failed rests, so each request has one of its own.
+		body := chatBody(i%2 == 0, fmt.Sprintf("case-%d ", i/2), 1)
+		body = strings.Replace(body, "notes", fmt.Sprintf("broken-%d", i), 1)
+		got := f.do(t, request{method: "POST", path: "/v1/chat/completions", key: testKey, body: body})
+		if strings.Contains(got.body, "[DONE]") || strings.Contains(got.body, `"completed"`) {
+			t.Errorf("answer %d passes for a whole one: %s", i/2, got.body)
+		}
+		if !strings.Contains(got.body, `"outcome":"unknown"`) {
+			t.Errorf("answer %d: no outcome in %d %s", i/2, got.status, got.body)
+		}
+	}
+	f.checkServing(t)
+}
+
+// logBuffer gathers log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// captureLogs gathers the log lines of all levels until the test ends.
+func captureLogs(t *testing.T) *logBuffer {
+	t.Helper()
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if err := flags.Set("v", "9"); err != nil {
+		t.Fatal(err)
+	}
+	logs := &logBuffer{}
+	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: slog.Level(-9)})))
+	t.Cleanup(func() {
+		klog.ClearLogger()
+		_ = flags.Set("v", "0")
+	})
+	return logs
+}
+
+// TestLogsNameRequestsAndNoSecret runs good and bad requests at all listeners
+// under faults, at the highest verbosity.
+func TestLogsNameRequestsAndNoSecret(t *testing.T) {
+	logs := captureLogs(t)
+	f := newFixture(t, 8)
+	chat := func(key, body string) response {
+		return f.do(t, request{method: "POST", path: "/v1/chat/completions", key: key, body: body})
+	}
+	ids := map[string]bool{}
+	for _, r := range []response{
+		chat(testKey, chatBody(true, "a", 3)),
+		chat(otherKey, chatBody(false, "b", 3)),
+		chat("guessed-key", chatBody(false, "c", 3)),
+		chat(testKey, `{"model":`),
+		chat(testKey, `{"model":"none","messages":[{}]}`),
+		f.do(t, booking("k1", "roof")),
+		f.do(t, request{method: "GET", path: "/v1/services/desk/status/7", key: testKey}),
+	} {
+		ids[r.header.Get("X-Request-Id")] = true
+	}
+	f.engine.Faults.Add(fault.Fault{Kind: fault.Crash, Match: "crash-me"})
+	ids[chat(testKey, chatBody(true, "crash-me", 3)).header.Get("X-Request-Id")] = true
+	_ = status(t, "POST", "http://"+f.instance.PeerAddr()+"/twirp/samphirehead.peer.Control/Status", "X-Samphirehead-Peer", "guessed-peer")
+	_ = status(t, "GET", "http://"+f.instance.OperatorAddr()+"/v1/status", "Authorization", "Bearer guessed-operator")
+	m := f.manifest(8)
+	m.Workspaces[0].KeySHA256 = []string{"plain-key"}
+	if yaml, err := m.Marshal(); err == nil {
+		_, _ = f.operator().Apply(t.Context(), operator.Submission{Base: 1, YAML: yaml, Operation: "bad"})
+	}
+	text := logs.String()
+	for _, secret := range []string{testKey, otherKey, "peer-secret", "operator-secret", "guessed-", "plain-key", digest(testKey), "Bearer"} {
+		if strings.Contains(text, secret) {
+			t.Errorf("%q is logged", secret)
+		}
+	}
+	if !strings.Contains(text, "attempt failed") {
+		t.Error("no attempt failed")
+	}
+	checkLines(t, text, ids)
+}
+
+// checkLines checks that each line is JSON, that each request has one, and that
+// a request's lines tell its workspace and class.
+func checkLines(t *testing.T, text string, ids map[string]bool) {
+	t.Helper()
+	for line := range strings.Lines(text) {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Errorf("%v in %s", err, line)
+			continue
+		}
+		request, ok := fields["request"].(string)
+		if !ok {
+			continue
+		}
+		delete(ids, request)
+		for _, name := range []string{"workspace", "class"} {
+			value, given := fields[name].(string)
+			if !given || value == "" && fields["msg"] == "attempt failed" {
+				t.Errorf("no %s in %s", name, line)
+			}
+		}
+	}
+	for request := range ids {
+		t.Errorf("no line of request %q", request)
+	}
+}
--- a/transport/caller/guard.go
+++ b/transport/caller/guard.go
@@ -18,10 +18,13 @@
 // without reading it.
 const unreadTimeout = time.Second
 
-// response notes whether the answer has begun.
+// response notes what is known of a request while it is answered.
 type response struct {
 	http.ResponseWriter
+	// begun is set once a part of the answer was written.
 	begun bool
+	// workspace is empty until the request is authenticated.
+	workspace id.Workspace
 }
 
 func (r *response) WriteHeader(status int) {
@@ -58,6 +61,22 @@
 	})
 }
 
+// noteWorkspace keeps whose request w answers, for the log.
+func noteWorkspace(w http.ResponseWriter, workspace id.Workspace) {
+	if r, ok := w.(*response); ok {
+		r.workspace = workspace
+	}
+}
+
+// logRefusal writes the line of a request that ends before it has a class.
+func logRefusal(w http.ResponseWriter, reason answer.Reason) {
+	workspace := id.Workspace("")
+	if r, ok := w.(*response); ok {
+		workspace = r.workspace
+	}
+	klog.V(1).InfoS("request refused", "request", requestID(w), "workspace", workspace, "class", id.Class(""), "reason", reason)
+}
+
 // limitRead bounds from now on the reading of what is left of a request's body.
 // At its end net/http lifts the limit by itself.
 func limitRead(w http.ResponseWriter, limit time.Duration) {
@@ -72,7 +91,7 @@
 // known; an answer that has begun is cut, so that it can't pass for a whole one.
 func (s *Server) panicked(w *response, v any) {
 	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		klog.ErrorS(fmt.Errorf("panic: %v", v), "request panicked", "request", requestID(w), "stack", string(debug.Stack()))
+		klog.ErrorS(fmt.Errorf("panic: %v", v), "request panicked", "request", requestID(w), "workspace", w.workspace, "stack", string(debug.Stack()))
 	}
 	if w.begun {
 		panic(http.ErrAbortHandler)
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -139,6 +139,7 @@
 			s.refuse(w, answer.Failure{Reason: answer.ReasonUnauthorized, Message: "the bearer key is not known"})
 			return
 		}
+		noteWorkspace(w, ws)
 		next(w, r, ws)
 	}
 }
--- a/transport/caller/write.go
+++ b/transport/caller/write.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"samphirehead/protocol/answer"
 	"samphirehead/protocol/openai"
 )
@@ -45,7 +43,7 @@
 
 // refuse answers a request of which nothing was sent.
 func (s *Server) refuse(w http.ResponseWriter, f answer.Failure) {
-	klog.V(1).InfoS("request refused", "request", requestID(w), "reason", f.Reason)
+	logRefusal(w, f.Reason)
 	var nothing answer.Progress
 	s.fail(w, nothing.End(f))
 }
