--- a/commands/demo.go
+++ b/commands/demo.go
@@ -52,7 +52,7 @@
 		fmt.Fprint(os.Stderr, d.Usage())
 		return subcommands.ExitUsageError
 	}
-	setLogging(os.Stderr, settings.LogError)
+	SetLogging(os.Stderr, settings.LogError)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	scenario, ok := bench.Find(demoScenario)
--- a/commands/logging.go
+++ b/commands/logging.go
@@ -14,17 +14,27 @@
 // debugVerbosity is the level of klog.V whose lines are written for debugging.
 const debugVerbosity = 2
 
-// setLogging sends klog's output to w as JSON lines.
-func setLogging(w io.Writer, level settings.LogLevel) {
-	options := &slog.HandlerOptions{Level: slogLevel(level)}
+// SetLogging sends klog's lines of a level and above to w, as JSON.
+func SetLogging(w io.Writer, level settings.LogLevel) {
+	options := &slog.HandlerOptions{Level: slogLevel(level), ReplaceAttr: plainLevel}
 	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(w, options)))
-	if level != settings.LogDebug {
-		return
+	verbosity := 0
+	if level == settings.LogDebug {
+		verbosity = debugVerbosity
 	}
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	// The flag exists and takes any number.
-	_ = flags.Set("v", strconv.Itoa(debugVerbosity))
+	_ = flags.Set("v", strconv.Itoa(verbosity))
+}
+
+// plainLevel writes DEBUG for the levels of klog.V, which slog would write as
+// DEBUG+3.
+func plainLevel(_ []string, a slog.Attr) slog.Attr {
+	if level, ok := a.Value.Any().(slog.Level); ok && a.Key == slog.LevelKey && level < slog.LevelInfo {
+		a.Value = slog.StringValue(slog.LevelDebug.String())
+	}
+	return a
 }
 
 func slogLevel(level settings.LogLevel) slog.Level {
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -44,7 +44,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	setLogging(os.Stderr, s.LogLevel)
+	SetLogging(os.Stderr, s.LogLevel)
 	if err := serve(ctx, s); err != nil {
 		klog.ErrorS(err, "instance failed", "instance", s.Instance)
 		return subcommands.ExitFailure
