--- a/coordination/placement/decide.go
+++ b/coordination/placement/decide.go
@@ -36,7 +36,7 @@
 		neediest := slices.MaxFunc(e.Models, func(a, b id.Model) int {
 			return cmp.Compare(m.need(now, a), m.need(now, b))
 		})
-		if !m.busy(neediest) {
+		if !m.busy(now, neediest) {
 			return []Effect{m.start(now, Order{e.Name, Load, neediest})}
 		}
 	}
@@ -94,7 +94,7 @@
 
 // serve returns the next order towards another engine for a model.
 func (m *Machine) serve(now time.Time, model id.Model) (Order, bool) {
-	if m.busy(model) {
+	if m.busy(now, model) {
 		return Order{}, false
 	}
 	for _, e := range m.candidates(now, model) {
@@ -129,7 +129,7 @@
 // itself, or a load at an engine that keeps the model, which makes that refuse
 // orders of earlier holders.
 func (m *Machine) free(now time.Time, e *engine, model id.Model) (Order, bool) {
-	if m.busy(model) || !m.spare(now, e, model) || m.waitedOut.IsZero() {
+	if m.busy(now, model) || !m.spare(now, e, model) || m.waitedOut.IsZero() {
 		return Order{}, false
 	}
 	var unfenced *engine
@@ -168,10 +168,14 @@
 	return m.demand[model] <= DefaultSpareFactor*float64(rest)
 }
 
-// busy reports whether an order of a model is open or not read back.
-func (m *Machine) busy(model id.Model) bool {
+// busy reports whether an order of a model may still take effect, or has not
+// been read back although its engine may still answer.
+func (m *Machine) busy(now time.Time, model id.Model) bool {
 	return slices.ContainsFunc(m.engines, func(e *engine) bool {
-		return e.order != nil && e.order.Model == model
+		if e.order == nil || e.order.Model != model {
+			return false
+		}
+		return e.sending || !now.After(e.settled.Add(m.Freshness))
 	})
 }
 
