placement: let only engines that the manifest allows a model keep it

An engine that held a model which the manifest no longer allowed it counted as keeping the model, though no request for the model goes there. The random runs now also change the manifest.

--- a/coordination/placement/decide.go
+++ b/coordination/placement/decide.go
@@ -140,7 +140,7 @@
 		if m.keeps(k) {
 			return Order{e.Name, Unload, model}, true
 		}
-		if unfenced == nil && k.ChecksFencing && !k.fenced && slices.Contains(k.Models, model) {
+		if unfenced == nil && k.ChecksFencing && !k.fenced {
 			unfenced = k
 		}
 	}
@@ -161,11 +161,11 @@
 
 // spare reports whether a model's demand is met without e, with a margin.
 func (m *Machine) spare(now time.Time, e *engine, model id.Model) bool {
-	if m.loaded(now, model) < 2 {
-		return false
+	rest := m.capacity(now, model)
+	if m.holds(now, e, model) {
+		rest -= e.Slots
 	}
-	rest := m.capacity(now, model) - e.Slots
-	return m.demand[model] <= DefaultSpareFactor*float64(rest)
+	return rest > 0 && m.demand[model] <= DefaultSpareFactor*float64(rest)
 }
 
 // busy reports whether an order of a model may still take effect, or has not
@@ -191,22 +191,12 @@
 	return e.order == nil && !e.asOf.IsZero() && now.Sub(e.asOf) <= m.Freshness
 }
 
+// holds reports whether requests for a model can surely go to e.
 func (m *Machine) holds(now time.Time, e *engine, model id.Model) bool {
-	return m.known(now, e) && slices.Contains(e.models, model)
+	return m.known(now, e) && slices.Contains(e.Models, model) && slices.Contains(e.models, model)
 }
 
-// loaded counts the engines that surely hold a model.
-func (m *Machine) loaded(now time.Time, model id.Model) int {
-	n := 0
-	for _, e := range m.engines {
-		if m.holds(now, e, model) {
-			n++
-		}
-	}
-	return n
-}
-
-// capacity sums the slots of the engines that surely hold a model.
+// capacity sums the slots of the engines that requests for a model can go to.
 func (m *Machine) capacity(now time.Time, model id.Model) int {
 	n := 0
 	for _, e := range m.engines {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -33,7 +33,7 @@
 	Models []id.Model
 	// Places is how many models it holds at a time, at least 1.
 	Places int
-	// Slots is the most requests in progress.
+	// Slots is the most requests in progress, at least 1.
 	Slots int
 	// ChecksFencing says that it refuses orders with an old number.
 	ChecksFencing bool
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -199,3 +200,16 @@
 		t.Error("nothing was unloaded")
 	}
 }
+
+func TestAnEngineKeepsOnlyWhatTheManifestAllowsIt(t *testing.T) {
+	s := newSite(false, notes, dossier, dossier)
+	s.step(placement.Configured{Upstreams: []placement.Upstream{
+		{Name: "a", Models: []id.Model{notes}, Places: 1, Slots: 10},
+		{Name: "c", Models: []id.Model{notes, dossier}, Places: 1, Slots: 10},
+		{Name: "b", Models: []id.Model{notes}, Places: 1, Slots: 10},
+	}})
+	s.run(60*second, true, map[id.Model]float64{notes: 60})
+	if fmt.Sprint(s.orders) != "[{b unload dossier} {b load notes}]" {
+		t.Errorf("orders %v", s.orders)
+	}
+}
--- a/coordination/placement/promises_test.go
+++ b/coordination/placement/promises_test.go
@@ -69,10 +69,12 @@
 	broken  protection
 	now     time.Time
 	workers []*worker
-	holders []*holder
-	flying  []*sent
-	demand  map[id.Model]float64
-	unloads int
+	// unlisted is not in the manifest; nil if all are.
+	unlisted *worker
+	holders  []*holder
+	flying   []*sent
+	demand   map[id.Model]float64
+	unloads  int
 	// outdated counts orders refused by engines that check.
 	outdated int
 }
@@ -120,12 +122,19 @@
 		OrderBound: bound, ReadInterval: second / 2, Freshness: 3 * second, Patience: second, LoadInterval: second / 2,
 	}}
 	h.holders = append(h.holders, next)
-	var upstreams []placement.Upstream
+	h.feed(next, placement.Configured{Upstreams: h.upstreams()})
+	h.feed(next, placement.Demanded{Slots: h.demand})
+}
+
+// upstreams is what the manifest lists.
+func (h *harness) upstreams() []placement.Upstream {
+	var out []placement.Upstream
 	for _, w := range h.workers {
-		upstreams = append(upstreams, w.Upstream)
+		if w != h.unlisted {
+			out = append(out, w.Upstream)
+		}
 	}
-	h.feed(next, placement.Configured{Upstreams: upstreams})
-	h.feed(next, placement.Demanded{Slots: h.demand})
+	return out
 }
 
 func (h *harness) worker(name id.Upstream) *worker {
@@ -270,7 +279,13 @@
 		for _, w := range h.workers {
 			w.down = false
 		}
-	case 9, 10, 11:
+	case 9, 10:
+		h.unlisted = h.workers[h.draw(len(h.workers), "unlisted")]
+		h.feed(h.current(), placement.Configured{Upstreams: h.upstreams()})
+	case 11, 12, 13:
+		h.unlisted = nil
+		h.feed(h.current(), placement.Configured{Upstreams: h.upstreams()})
+	case 14, 15, 16:
 		models := h.workers[0].Models
 		h.demand = map[id.Model]float64{models[h.draw(len(models), "demand")]: 45}
 		for _, o := range h.holders {
