--- a/instance/homes/home.go
+++ b/instance/homes/home.go
@@ -49,11 +49,8 @@
 	Queue *queue.Queue
 	// Preempt asks a holder to end reservations early. It must not block.
 	Preempt func(holder id.Instance, reservations []id.Reservation)
-	// Admit, unless nil, may refuse an arrival before it is queued. It must
-	// not block.
-	Admit func(a queue.Arrived) *Refused
-	// Ended, unless nil, hears of each release.
-	Ended func(r queue.Released)
+	// Spread tells other instances of crashes. It must not block.
+	Spread func(crashes []suspect.Record)
 
 	mu sync.Mutex
 	// waiters holds each reservation that waits.
@@ -93,11 +90,6 @@
 // Reserve waits for the decision about a reservation, or for ctx, whose end
 // takes the reservation back.
 func (h *Home) Reserve(ctx context.Context, a queue.Arrived) (Decision, error) {
-	if h.Admit != nil {
-		if refused := h.Admit(a); refused != nil {
-			return *refused, nil
-		}
-	}
 	wait := make(chan Decision, 1)
 	h.mu.Lock()
 	h.init()
@@ -154,19 +146,12 @@
 	now := time.Now()
 	for _, r := range releases {
 		delete(h.granted, r.Reservation)
-		if h.Ended != nil {
-			h.Ended(r)
-		}
 		h.apply(h.Queue.Step(now, r))
 	}
 }
 
 // Hear takes in what other instances tell of suspect requests.
-func (h *Home) Hear(ev suspect.Heard) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Queue.Suspects.Step(time.Now(), ev)
-}
+func (h *Home) Hear(crashes []suspect.Record) { h.step(queue.Heard{Records: crashes}) }
 
 // Crashes returns the crashes that count at now.
 func (h *Home) Crashes(now time.Time) []suspect.Record {
@@ -227,6 +212,8 @@
 		case queue.Expired:
 			delete(h.granted, e.Reservation)
 			klog.V(2).InfoS("reservation lease lapsed", "reservation", e.Reservation)
+		case queue.CrashSeen:
+			h.Spread(e.Records)
 		case queue.Preempted:
 			if preempted == nil {
 				preempted = make(map[id.Instance][]id.Reservation)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -160,6 +160,7 @@
 			Suspects:     i.suspects,
 		},
 		Preempt: i.preempt,
+		Spread:  i.spread,
 	}
 	i.reserver = &reserve.Client{
 		Self:          i.Settings.Instance,
--- a/instance/learn.go
+++ b/instance/learn.go
@@ -83,7 +83,7 @@
 			At:          now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
 		}
 	}
-	i.home.Hear(suspect.Heard{Records: records})
+	i.home.Hear(records)
 	return nil
 }
 
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -162,14 +162,24 @@
 	return fault.At("report crash", string(r.Instance), err)
 }
 
+// spread gossips crashes that the home here has found, without waiting.
+func (i *Instance) spread(crashes []suspect.Record) {
+	i.background(func(context.Context) error {
+		for _, c := range crashes {
+			i.members.ReportCrash(member.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Request: c.Request, At: c.At})
+		}
+		return nil
+	})
+}
+
 // hearCrash takes a crash report into the suspects of the home.
 func (i *Instance) hearCrash(c member.Crash) {
-	i.home.Hear(suspect.Heard{Records: []suspect.Record{{
+	i.home.Hear([]suspect.Record{{
 		Fingerprint: c.Fingerprint,
 		Upstream:    c.Upstream,
 		Request:     c.Request,
 		At:          c.At,
-	}}})
+	}})
 }
 
 // controlServer lets other instances serve operators on behalf of this one.
