instance: test that slow callers are cut at the listener

With limits of 50 ms from the settings, connections that hold back a header, a body, or the next request end, also with an unknown key. Only that they end is checked.

--- a/instance/fixture_test.go
+++ b/instance/fixture_test.go
@@ -63,6 +63,12 @@
 }
 
 func newFixture(t testing.TB, slots int) *fixture {
+	t.Helper()
+	return newLimitedFixture(t, slots, settings.DefaultLimits())
+}
+
+// newLimitedFixture gives the instance other limits on its callers.
+func newLimitedFixture(t testing.TB, slots int, limits settings.Limits) *fixture {
 	t.Helper()
 	f := &fixture{
 		platform: &platform.Platform{Address: "127.0.0.1:0", ListLag: -1},
@@ -82,7 +88,7 @@
 		PlatformAddress: f.platform.Addr(),
 		PeerSecret:      "peer-secret",
 		OperatorSecret:  "operator-secret",
-		Limits:          settings.DefaultLimits(),
+		Limits:          limits,
 	}}
 	f.ended = start(t, f.instance)
 	f.apply(t, slots)
--- a/instance/security_test.go
+++ b/instance/security_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +22,7 @@
 	"samphirehead/standin/fault"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
+	"samphirehead/state/settings"
 	"samphirehead/transport/operator"
 )
 
@@ -78,6 +82,38 @@
 	f.checkServing(t)
 }
 
+// TestSlowCallersAreCut checks that the settings reach the listener: whatever
+// part of a request a caller holds back, its connection ends.
+func TestSlowCallersAreCut(t *testing.T) {
+	limits := settings.DefaultLimits()
+	limits.HeaderTimeout = 50 * time.Millisecond
+	limits.BodyTimeout = limits.HeaderTimeout
+	limits.IdleTimeout = limits.HeaderTimeout
+	f := newLimitedFixture(t, 8, limits)
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\nAuthorization: Bearer "
+	for name, sent := range map[string]string{
+		"nothing":             "",
+		"half a header":       "POST /v1/chat/comp",
+		"half a body":         head + testKey + "\r\n\r\n{",
+		"half, unknown key":   head + "guess\r\n\r\n{",
+		"whole, then nothing": "GET /v1/entries HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testKey + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.instance.CallerAddr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_ = c.SetReadDeadline(time.Now().Add(readyTimeout))
+			_, _ = io.WriteString(c, sent)
+			if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection stays open")
+			}
+		})
+	}
+	f.checkServing(t)
+}
+
 func status(t *testing.T, method, url, header, value string) int {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader("{}"))
