--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -202,5 +202,6 @@
 		Outcome:    outcomeOf(result),
 		QueueWait:  c.wait,
 		FirstToken: first,
+		Attained:   first >= 0 && first <= c.class.FirstToken,
 	})
 }
--- a/instance/entry/generate.go
+++ b/instance/entry/generate.go
@@ -270,7 +270,21 @@
 	return retry.Key{Class: g.class.Name, Pool: g.need.Pool}
 }
 
+// attained reports whether a whole answer met the targets of its class: the
+// first token, and the mean gap between tokens.
+func (g *generation) attained() bool {
+	if g.firstToken < 0 || g.firstToken > g.class.FirstToken {
+		return false
+	}
+	if g.next < 2 || g.class.BetweenTokens == 0 {
+		return true
+	}
+	streamed := g.lastToken.Sub(g.in.Arrived) - g.firstToken
+	return streamed <= g.class.BetweenTokens*time.Duration(g.next-1)
+}
+
 func (g *generation) observe(result answer.Result) {
+	_, completed := result.(answer.Completed)
 	g.entry.Metrics.Observe(metrics.Observation{
 		Class:      g.class.Name,
 		Workspace:  g.in.Workspace,
@@ -278,6 +292,7 @@
 		QueueWait:  g.queueWait,
 		FirstToken: g.firstToken,
 		Tokens:     g.next,
+		Attained:   completed && g.attained(),
 	})
 }
 
--- a/instance/entry/generate_test.go
+++ b/instance/entry/generate_test.go
@@ -310,6 +310,7 @@
 	var view struct {
 		Classes map[string]struct {
 			Outcomes map[string]int `json:"outcomes"`
+			Attained int            `json:"attained"`
 			Tokens   int            `json:"tokens"`
 		} `json:"classes"`
 	}
@@ -317,7 +318,7 @@
 		t.Fatal(err)
 	}
 	c := view.Classes["c"]
-	if c.Outcomes["completed"] != 1 || c.Outcomes["not_run"] != 1 || c.Tokens != answerTokens {
+	if c.Outcomes["completed"] != 1 || c.Outcomes["not_run"] != 1 || c.Attained != 1 || c.Tokens != answerTokens {
 		t.Errorf("counted %+v", c)
 	}
 }
--- a/state/metrics/metrics.go
+++ b/state/metrics/metrics.go
@@ -40,6 +40,9 @@
 	QueueWait  time.Duration
 	FirstToken time.Duration
 	Tokens     id.Tokens
+	// Attained says that the request was completed within the latency
+	// targets of its class.
+	Attained bool
 }
 
 // Registry holds the metrics of one instance. The zero value is ready. It is
@@ -58,6 +61,7 @@
 	// underestimates (the space-saving method).
 	weight     int64
 	outcomes   map[Outcome]int64
+	attained   int64
 	tokens     id.Tokens
 	firstToken *hdrhistogram.Histogram
 	between    *hdrhistogram.Histogram
@@ -86,6 +90,9 @@
 		s.weight++
 		s.outcomes[o.Outcome]++
 		s.tokens += o.Tokens
+		if o.Attained {
+			s.attained++
+		}
 		record(s.queueWait, o.QueueWait)
 		record(s.firstToken, o.FirstToken)
 	}
@@ -179,6 +186,7 @@
 
 type seriesView struct {
 	Outcomes      map[Outcome]int64 `json:"outcomes"`
+	Attained      int64             `json:"attained"`
 	Tokens        id.Tokens         `json:"tokens"`
 	FirstToken    latencies         `json:"first_token"`
 	BetweenTokens latencies         `json:"between_tokens"`
@@ -216,6 +224,7 @@
 	}
 	return seriesView{
 		Outcomes:      outcomes,
+		Attained:      s.attained,
 		Tokens:        s.tokens,
 		FirstToken:    summarize(s.firstToken),
 		BetweenTokens: summarize(s.between),
