instance: answer strangers before their body, and decide by the newest manifest

Cause: operators' and peers' listeners waited for the body of requests without their secret; a home that knew of a newer manifest queued by its old one; requests saw a new manifest some milliseconds before the homes were placed by it; names in another case were read by the router and not by engines; engines' error bodies reached the log.

--- a/instance/entry/generate.go
+++ b/instance/entry/generate.go
@@ -240,6 +240,9 @@
 	if errors.Is(err, errCallerGone) || ctx.Err() != nil {
 		return contextFailure(context.Cause(ctx)), true
 	}
+	if errors.Is(err, engine.ErrRejected) {
+		return answer.Failure{Reason: answer.ReasonRejected, Message: "the engine rejected the request: " + err.Error()}, true
+	}
 	preempted := errors.Is(err, errPreempted)
 	if preempted {
 		g.attempts--
--- a/instance/entry/generate_test.go
+++ b/instance/entry/generate_test.go
@@ -228,6 +228,8 @@
 			[]queue.Outcome{queue.Crashed, queue.Crashed}, []id.Tokens{0, 0}},
 		{"answers with an error", true, []http.Handler{fakeEngine{status: 503}, good}, "completed", wholeText(),
 			[]queue.Outcome{queue.Failed, queue.Completed}, []id.Tokens{0, 0}},
+		{"rejects the request", true, []http.Handler{fakeEngine{status: 400}, good}, "unknown", "",
+			[]queue.Outcome{queue.Failed}, []id.Tokens{0}},
 		{"sends late, repeated and foreign events", true, []http.Handler{fakeEngine{until: answerTokens, noise: true}}, "completed", wholeText(),
 			[]queue.Outcome{queue.Completed}, []id.Tokens{0}},
 	} {
--- a/instance/homes/server.go
+++ b/instance/homes/server.go
@@ -16,6 +16,8 @@
 	Stamp func() *peer.Stamp
 	// Seen hears the stamp of each message.
 	Seen func(s *peer.Stamp)
+	// Current waits a little for a newer manifest that is known of.
+	Current func(ctx context.Context) bool
 }
 
 var _ peer.Home = (*Server)(nil)
@@ -23,6 +25,9 @@
 // Reserve waits for a slot.
 func (s *Server) Reserve(ctx context.Context, r *peer.ReserveRequest) (*peer.ReserveResponse, error) {
 	s.Seen(r.Stamp)
+	if !s.Current(ctx) {
+		return &peer.ReserveResponse{Stamp: s.Stamp(), Refusal: string(queue.RefusedNoUpstream)}, nil
+	}
 	arrived := r.Arrived(time.Now())
 	if r.RunningAt != "" {
 		s.Home.Register(queue.Registered{Arrived: arrived, Upstream: id.Upstream(r.RunningAt), Tokens: arrived.ResumeOffset})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -201,6 +202,9 @@
 	largePrefill = 300 * time.Millisecond
 	// headroomInterval is how often members are told of the headroom.
 	headroomInterval = time.Second
+	// operatorTimeout bounds the reading and the answering of an operator's
+	// request.
+	operatorTimeout = time.Minute
 	// drainPoll is how often a leaving instance looks whether it may end.
 	drainPoll = 20 * time.Millisecond
 	// maxBackground bounds the calls in the background at a time,
@@ -280,7 +284,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.MaxHeaderBytes,
-		ErrorLog:          nil,
+		ErrorLog:          httpErrors(),
 	}
 }
 
@@ -293,18 +297,26 @@
 	return &http.Server{
 		Handler:           server.Handler(),
 		ReadHeaderTimeout: i.Settings.Limits.HeaderTimeout,
+		ReadTimeout:       operatorTimeout,
+		WriteTimeout:      operatorTimeout,
 		MaxHeaderBytes:    i.Settings.Limits.MaxHeaderBytes,
+		ErrorLog:          httpErrors(),
 	}
 }
 
+// httpErrors takes net/http's own messages into the log.
+func httpErrors() *log.Logger { return klog.NewStandardLogger("ERROR") }
+
 func (i *Instance) peerServer() *http.Server {
-	return peer.NewServer(peer.Handler(i.Settings.PeerSecret.Reveal(), peer.Services{
-		Home:    &homes.Server{Home: i.home, Stamp: i.stamp, Seen: i.seen},
+	server := peer.NewServer(peer.Handler(i.Settings.PeerSecret.Reveal(), peer.Services{
+		Home:    &homes.Server{Home: i.home, Stamp: i.stamp, Seen: i.seen, Current: i.awaitManifest},
 		Entry:   &reserve.Server{Client: i.reserver},
 		Member:  i.members,
 		Control: (*controlServer)(i),
 		Limit:   i.limits,
 	}))
+	server.ErrorLog = httpErrors()
+	return server
 }
 
 // watch applies changes of members and manifest until ctx ends.
@@ -322,8 +334,9 @@
 		case <-i.learntNow:
 		case <-i.manifests.Changed():
 			i.takeManifest()
+			continue
 		}
-		i.reconfigure()
+		i.reconfigure(i.index.Load())
 	}
 }
 
--- a/instance/reconfigure.go
+++ b/instance/reconfigure.go
@@ -9,13 +9,13 @@
 	"samphirehead/state/manifest"
 )
 
-// reconfigure places the upstreams of the manifest in force over the members
-// of the moment.
-func (i *Instance) reconfigure() {
-	index := i.Index()
-	if index == nil {
+// reconfigure places the upstreams of a manifest over the members of the
+// moment.
+func (i *Instance) reconfigure(next *indexed) {
+	if next == nil {
 		return
 	}
+	index := next.index
 	i.members.Update(i.published(), i.headroom())
 	records := i.members.Records()
 	placement := home.Place(homeUpstreams(index), records)
--- a/instance/versions.go
+++ b/instance/versions.go
@@ -33,13 +33,17 @@
 	return id.ManifestVersion(answer.Version), answer.Yaml, nil
 }
 
-// takeManifest makes the current manifest the one in force here.
+// takeManifest makes the current manifest the one in force here. Requests see
+// it once the homes are placed by it.
 func (i *Instance) takeManifest() {
 	version, m, _ := i.manifests.Current()
 	if m == nil || version <= i.version() {
 		return
 	}
-	i.index.Store(&indexed{version: version, index: manifest.NewIndex(m), taken: time.Now()})
+	next := &indexed{version: version, index: manifest.NewIndex(m), taken: time.Now()}
+	i.reconfigure(next)
+	i.index.Store(next)
+	i.members.Update(i.published(), i.headroom())
 }
 
 func (i *Instance) manifestMessage() *wire.FetchManifestResponse {
--- a/protocol/answer/answer.go
+++ b/protocol/answer/answer.go
@@ -41,6 +41,7 @@
 	ReasonNotReady     Reason = "instance_not_ready"
 	ReasonPlatformDown Reason = "platform_unavailable"
 	ReasonUpstream     Reason = "upstream_failed"
+	ReasonRejected     Reason = "upstream_rejected"
 	ReasonCancelled    Reason = "cancelled"
 	ReasonPending      Reason = "in_progress"
 	ReasonInternal     Reason = "internal_error"
@@ -49,7 +50,7 @@
 // Status returns the HTTP status that goes with r.
 func (r Reason) Status() int {
 	switch r {
-	case ReasonBadRequest, ReasonKeyMissing:
+	case ReasonBadRequest, ReasonKeyMissing, ReasonRejected:
 		return http.StatusBadRequest
 	case ReasonUnauthorized:
 		return http.StatusUnauthorized
--- a/protocol/openai/openai.go
+++ b/protocol/openai/openai.go
@@ -5,7 +5,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,6 +17,9 @@
 // bytesPerToken estimates the length of a prompt before an engine counts it.
 const bytesPerToken = 4
 
+// knownFields are the names that ParseChat reads.
+var knownFields = []string{"model", "stream", "max_tokens", "n", "messages"}
+
 // ChatRequest is a caller's request. Fields that the router does not know stay
 // in Body and reach the engine.
 type ChatRequest struct {
@@ -104,9 +109,14 @@
 		N         *int              `json:"n"`
 		Messages  []json.RawMessage `json:"messages"`
 	}
-	if err := json.Unmarshal(body, &in); err != nil {
+	var fields map[string]json.RawMessage
+	err := errors.CombineErrors(json.Unmarshal(body, &in), json.Unmarshal(body, &fields))
+	if err != nil {
 		return nil, errors.Wrap(err, "the body is not a chat completion request")
 	}
+	if err := checkNames(fields); err != nil {
+		return nil, err
+	}
 	if in.Model == "" {
 		return nil, errors.New("model: must be given")
 	}
@@ -123,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	streamed, err := asStream(body, in.Stream)
+	streamed, err := asStream(fields)
 	if err != nil {
 		return nil, err
 	}
@@ -150,16 +160,21 @@
 	return size, nil
 }
 
-// asStream returns body with the stream field set, since answers are always
-// streamed between engine and entry.
-func asStream(body []byte, streamed bool) ([]byte, error) {
-	if streamed {
-		return body, nil
-	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, errors.Wrap(err, "decode body")
+// checkNames refuses names that differ from a known one by case alone: the
+// router would read them and an engine would not.
+func checkNames(fields map[string]json.RawMessage) error {
+	for name := range fields {
+		lower := strings.ToLower(name)
+		if lower != name && slices.Contains(knownFields, lower) {
+			return errors.Newf("%s: must be written %s", name, lower)
+		}
 	}
+	return nil
+}
+
+// asStream returns a body with each field once and the stream field set, since
+// answers are always streamed between engine and entry.
+func asStream(fields map[string]json.RawMessage) ([]byte, error) {
 	fields["stream"] = json.RawMessage("true")
 	return json.Marshal(fields)
 }
--- a/protocol/openai/openai_test.go
+++ b/protocol/openai/openai_test.go
@@ -16,6 +16,7 @@
 		{"message of a wrong type", `{"model":"m","messages":[{},7]}`, "messages[1]"},
 		{"negative bound", `{"model":"m","messages":[{}],"max_tokens":-1}`, "max_tokens"},
 		{"several answers", `{"model":"m","messages":[{}],"n":2}`, "n:"},
+		{"name in another case", `{"model":"m","messages":[{}],"Stream":true}`, "Stream"},
 		{"cut short", `{"model":"m","mess`, "not a chat completion request"},
 	} {
 		_, err := openai.ParseChat([]byte(c.body))
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -34,6 +34,9 @@
 	ErrNotSent = errors.New("nothing was sent")
 	// ErrRefused means that the engine answered with an error status.
 	ErrRefused = errors.New("engine refused the request")
+	// ErrRejected marks an ErrRefused that any other engine would answer
+	// too.
+	ErrRejected = errors.New("engine rejected the request")
 	// ErrBroken means that the stream ended before the answer did.
 	ErrBroken = errors.New("stream ended early")
 	// ErrStalled means that no token came for too long.
@@ -145,9 +148,15 @@
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
-	defer func() { _ = resp.Body.Close() }()
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	return nil, errors.Mark(errors.Newf("status %d: %s", resp.StatusCode, text), ErrRefused)
+	// The body of the error may hold the prompt and must not reach the log.
+	_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBytes)
+	_ = resp.Body.Close()
+	err = errors.Mark(errors.Newf("status %d", resp.StatusCode), ErrRefused)
+	switch resp.StatusCode {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return nil, errors.Mark(err, ErrRejected)
+	}
+	return nil, err
 }
 
 // accept parses an event and checks that it is the one expected next.
--- a/transport/operator/server.go
+++ b/transport/operator/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"samphirehead/state/document"
 	"samphirehead/state/id"
@@ -55,6 +56,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		scheme, given, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 		if !strings.EqualFold(scheme, "Bearer") || !s.Secret.Matches(given) {
+			// Nothing is read from whoever can't show the secret.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+			w.Header().Set("Connection", "close")
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			writeError(w, http.StatusUnauthorized, "the operator secret is missing or wrong")
 			return
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -85,6 +85,8 @@
 func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	given := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
 	if g.empty || subtle.ConstantTimeCompare(given[:], g.secret[:]) != 1 {
+		// Nothing is read from whoever can't show the secret.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 		_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "peer secret missing or wrong"))
 		return
 	}
