--- a/bench/cluster/trust.go
+++ b/bench/cluster/trust.go
@@ -111,7 +111,7 @@
 	return m
 }
 
-// Streams returns the steady load, at about half of the engines' capacity.
+// Streams returns the steady load, at a little under half of the engines' capacity.
 func Streams() []load.Stream {
 	streams := make([]load.Stream, 0, len(Classes()))
 	for _, c := range Classes() {
--- a/bench/scenarios.go
+++ b/bench/scenarios.go
@@ -56,7 +56,7 @@
 
 func loadScenarios() []Scenario {
 	return []Scenario{
-		{Name: "steady", Summary: "half of the engines' capacity"},
+		{Name: "steady", Summary: "a little under half of the engines' capacity"},
 		{Name: "morning_peak", Summary: "three times the questions, few dossiers", Changes: []Change{
 			{Class: cluster.Question, Rate: 3, From: 0.2, Until: 0.8},
 			{Class: cluster.Dossier, Rate: 0.25, Until: 1},
