queue: refuse at once what a pool of ejected upstreams can't serve in time

A request for a pool whose upstreams were all ejected waited for up to the 15 s of the longest ejection and was then told no_upstream without a time, whatever its target.

Such a request is now refused on arrival, or when the last upstream goes, if the first ejection ends only after its target (its deadline, when the target has passed or the answer has begun). It is told when that ejection ends. The upstream that is back first in such a pool is let back in after 1 s at most.

--- a/coordination/queue/admit.go
+++ b/coordination/queue/admit.go
@@ -28,7 +28,11 @@
 	}
 	w := q.newWaiter(now, ev)
 	if reason := q.impossible(now, w); reason != "" {
-		q.emit(Refused{ev.Reservation, reason, 0})
+		q.emit(Refused{ev.Reservation, reason, q.impossibleFor(now, w, reason)})
+		return
+	}
+	if after, ok := q.restsTooLong(now, w); ok {
+		q.emit(Refused{ev.Reservation, RefusedNoUpstream, after})
 		return
 	}
 	w.line = q.pools[ev.Pool].line(q.classes[ev.Class])
@@ -84,6 +88,15 @@
 	return ""
 }
 
+// impossibleFor returns when a request that can't be granted now could be; 0
+// when unknown.
+func (q *Queue) impossibleFor(now time.Time, w *waiter, reason RefusalReason) time.Duration {
+	if reason != RefusedNoUpstream {
+		return 0
+	}
+	return q.pools[w.Pool].restLeft(now)
+}
+
 func (q *Queue) copyLimit(now time.Time, f id.Fingerprint) int {
 	if q.Suspects == nil {
 		return suspect.Unlimited
--- a/coordination/queue/configure.go
+++ b/coordination/queue/configure.go
@@ -16,6 +16,7 @@
 	q.configurePools()
 	q.refuseStranded(now)
 	q.dispatch(now, q.poolOrder)
+	q.rest(now, q.poolOrder)
 }
 
 func (q *Queue) configureClasses(classes []manifest.Class) {
--- a/coordination/queue/running.go
+++ b/coordination/queue/running.go
@@ -135,8 +135,13 @@
 	if ev.Tokens > r.tokens {
 		r.tokens = ev.Tokens
 	}
+	u := r.worker
+	healthy := !u.Health.Ejected(now)
 	q.learn(now, r, ev)
 	q.end(now, r)
+	if healthy && u.Health.Ejected(now) {
+		q.rest(now, u.pools)
+	}
 }
 
 // learn takes in what the end of a reservation says of its upstream and class.
--- a/coordination/upstream/health.go
+++ b/coordination/upstream/health.go
@@ -68,3 +68,13 @@
 
 // Ejected reports whether no request may start at now.
 func (h *Health) Ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
+// EjectedUntil returns when the last ejection ends or ended.
+func (h *Health) EjectedUntil() time.Time { return h.ejectedUntil }
+
+// EndBy lets an ejection end at t if it would end later.
+func (h *Health) EndBy(t time.Time) {
+	if t.Before(h.ejectedUntil) {
+		h.ejectedUntil = t
+	}
+}
