atmostonce: hold no slot while another attempt's claim is awaited

Duplicates of an at-most-once call kept their worker's slot while they polled the record of the attempt that ran: in a pool of one slot, one duplicate kept calls of other keys out until its deadline.

The slot is now given back with the first poll, and reserved again after the mark by a call that takes a claim over. A refusal there voids the claim and is told as not_run with its reason and time. No read is added.

The new tests failed before: with 8 duplicates before one slot, the call of another key was told not_run at its deadline. They pass after it, 5 times with -race.

--- a/instance/atmostonce/calls.go
+++ b/instance/atmostonce/calls.go
@@ -44,6 +44,10 @@
 	Deadline time.Time
 	// Repeat says that the caller may have sent the key before.
 	Repeat bool
+	// Idle is called, unless nil, when the call waits for the claim of
+	// another attempt, and perhaps again: what is held for Send can be given
+	// back. It must not block.
+	Idle func()
 	// Send sends the call with the permit, once, and returns what it knows.
 	// Its context ends some time after the deadline and outlives the
 	// caller, so that a late answer is recorded.
@@ -167,6 +171,9 @@
 	case claim.WriteRow:
 		go r.write(e)
 	case claim.ReadRow:
+		// A row is read only to follow another attempt's claim, or to
+		// release the own one.
+		r.idle()
 		go r.read(e)
 	case claim.SendCall:
 		go r.send(e)
@@ -179,6 +186,12 @@
 	}
 }
 
+func (r *run) idle() {
+	if r.call.Idle != nil {
+		r.call.Idle()
+	}
+}
+
 func (r *run) write(e claim.WriteRow) {
 	ctx, cancel := r.until(e.By)
 	defer cancel()
--- a/instance/entry/once.go
+++ b/instance/entry/once.go
@@ -20,6 +20,10 @@
 // findTimeout bounds the look at the record of a call that gets no slot.
 const findTimeout = 500 * time.Millisecond
 
+// noSlot is the reason of a claimed call that got no slot. Its cause is the
+// error of the reservation.
+const noSlot = claim.Reason("no_slot")
+
 // claimKey is the key of the record of a call.
 func claimKey(in caller.ServiceCall) record.Key {
 	return claim.NewKey(in.Workspace, in.Service, in.Method, in.Path, in.IdempotencyKey)
@@ -36,8 +40,8 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// slot is the slot of an at-most-once call. It is given back once, by whoever
-// is last to need it.
+// slot is the slot of an at-most-once call. It is given back once: by the call
+// that sends, else by whoever first finds that it isn't needed.
 type slot struct {
 	mu sync.Mutex
 	// grant is nil once it was taken or given back.
@@ -53,7 +57,8 @@
 }
 
 // runOnce runs a call at most once. The slot is reserved before the claim, so
-// that a refusal for lack of capacity writes nothing.
+// that a refusal for lack of capacity writes nothing. It is given back while
+// another attempt's claim is awaited.
 func (c *serviceCall) runOnce(ctx context.Context) (answer.Result, caller.ServiceAnswer) {
 	grant, err := c.reserve(ctx)
 	if err != nil {
@@ -65,14 +70,20 @@
 		Digest:   callDigest(c.in),
 		Deadline: c.need.Deadline,
 		Repeat:   c.in.Repeat,
-		Send: func(ctx context.Context, permit *claim.Permit) claim.Evidence {
-			return c.send(ctx, permit, held)
+		Idle:     func() { c.giveBack(held) },
+		Send: func(sending context.Context, permit *claim.Permit) claim.Evidence {
+			return c.send(ctx, sending, permit, held)
 		},
 	})
+	c.giveBack(held)
+	return resultOf(outcome)
+}
+
+// giveBack frees the slot if it is still held.
+func (c *serviceCall) giveBack(held *slot) {
 	if unused := held.take(); unused != nil {
 		c.entry.Dispatcher.Release(unused, dispatch.Ending{Outcome: queue.Cancelled})
 	}
-	return resultOf(outcome)
 }
 
 // refusedOnce answers a call that got no slot: by its record if the key was
@@ -94,11 +105,15 @@
 	return found(finding)
 }
 
-// send makes attempts until one may have reached a worker.
-func (c *serviceCall) send(ctx context.Context, permit *claim.Permit, held *slot) claim.Evidence {
+// send makes attempts until one may have reached a worker. A slot that was given
+// back is reserved again only while the caller waits; ctx outlives the caller.
+func (c *serviceCall) send(waiting, ctx context.Context, permit *claim.Permit, held *slot) claim.Evidence {
 	grant := held.take()
 	if grant == nil {
-		return claim.NothingSent{Reason: claim.DeadlinePassed}
+		var err error
+		if grant, err = c.reserve(waiting); err != nil {
+			return claim.NothingSent{Reason: noSlot, RetryAfter: refusalFailure(err).RetryAfter, Err: err}
+		}
 	}
 	for attempts := 1; ; attempts++ {
 		evidence := c.entry.Services.Once(ctx, permit, c.message(grant))
@@ -175,6 +190,8 @@
 		f.Reason, f.Message = answer.ReasonPlatformDown, "the platform's table can't be reached; nothing was sent"
 	case claim.DeadlinePassed:
 		f.Reason, f.Message = answer.ReasonDeadline, "the class's total deadline has passed; nothing was sent"
+	case noSlot:
+		f = refusalFailure(n.Cause())
 	case claim.CallerGone:
 		f.Reason, f.Message = answer.ReasonCancelled, "the caller has gone; nothing was sent"
 	default:
--- /dev/null
+++ b/instance/entry/once_test.go
@@ -0,0 +1,224 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/queue"
+	"samphirehead/instance/atmostonce"
+	"samphirehead/instance/dispatch"
+	"samphirehead/instance/entry"
+	"samphirehead/instance/internal/memtable"
+	"samphirehead/protocol/answer"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/metrics"
+	"samphirehead/state/record"
+	"samphirehead/transport/caller"
+	"samphirehead/transport/service"
+)
+
+// oneSlot gives out the slot of one worker.
+type oneSlot struct {
+	upstream manifest.Upstream
+	// free has the slot while it is free.
+	free chan struct{}
+	// used gets the number of each reservation before it waits.
+	used chan int
+	// refuse says from which reservation on all are refused; 0 means never.
+	refuse int
+
+	mu    sync.Mutex
+	count int
+}
+
+func (s *oneSlot) Reserve(ctx context.Context, need queue.Arrived) (*dispatch.Grant, error) {
+	s.mu.Lock()
+	s.count++
+	n := s.count
+	s.mu.Unlock()
+	s.used <- n
+	if s.refuse > 0 && n >= s.refuse {
+		return nil, &dispatch.Refusal{Reason: queue.RefusedQueueFull, RetryAfter: 3 * time.Second}
+	}
+	select {
+	case <-s.free:
+		return dispatch.NewGrant(need, s.upstream, 0), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *oneSlot) Release(*dispatch.Grant, dispatch.Ending) { s.free <- struct{}{} }
+
+// desk is an entry before a worker with one slot.
+type desk struct {
+	entry *entry.Entry
+	slot  *oneSlot
+}
+
+func newDesk(t *testing.T, table atmostonce.Table, worker http.Handler) *desk {
+	t.Helper()
+	server := httptest.NewServer(worker)
+	t.Cleanup(server.Close)
+	u := manifest.Upstream{Name: "desk-1", Address: server.Listener.Addr().String(), Kind: manifest.KindService, Service: "desk"}
+	index := manifest.NewIndex(&manifest.Manifest{
+		Classes:    []manifest.Class{{Name: "c", Tier: 1, FirstToken: time.Second, TotalDeadline: 10 * time.Second}},
+		Workspaces: []manifest.Workspace{{Name: "w", Classes: []id.Class{"c"}}},
+		Upstreams:  []manifest.Upstream{u},
+		Services: []manifest.Service{{Name: "desk", Routes: []manifest.Route{
+			{Method: http.MethodPost, Path: "/bookings", Semantics: manifest.AtMostOnce, Class: "c"},
+		}}},
+	})
+	slot := &oneSlot{upstream: u, free: make(chan struct{}, 1), used: make(chan int, 100)}
+	slot.free <- struct{}{}
+	return &desk{slot: slot, entry: &entry.Entry{
+		Dispatcher: slot,
+		Services:   &service.Client{},
+		Calls:      &atmostonce.Calls{Table: table, Instance: "entry"},
+		Metrics:    &metrics.Registry{},
+		Index:      func() *manifest.Index { return index },
+		Admit:      func(context.Context, id.Workspace, id.Tokens) *answer.Failure { return nil },
+	}}
+}
+
+func (d *desk) book(ctx context.Context, key string) answer.Result {
+	result, _ := d.entry.Call(ctx, caller.ServiceCall{
+		Request: "q", Workspace: "w", Service: "desk", Method: http.MethodPost, Path: "/bookings",
+		IdempotencyKey: key, Header: http.Header{}, Body: []byte("roof"), Arrived: time.Now(),
+	})
+	return result
+}
+
+// counter is a worker that counts its runs.
+type counter struct {
+	mu   sync.Mutex
+	runs int
+}
+
+func (c *counter) ServeHTTP(http.ResponseWriter, *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs++
+}
+
+func (c *counter) check(t *testing.T, want int) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs != want {
+		t.Errorf("%d runs, want %d", c.runs, want)
+	}
+}
+
+// TestDuplicatesHoldNoSlot checks that calls that wait for the outcome of
+// another attempt leave the worker's only slot to other keys.
+func TestDuplicatesHoldNoSlot(t *testing.T) {
+	const duplicates = 8
+	table := &memtable.Table{}
+	reached, answered := make(chan struct{}), make(chan struct{})
+	first := newDesk(t, table, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(reached)
+		<-answered
+	}))
+	runs := &counter{}
+	second := newDesk(t, table, runs)
+	results := make(chan answer.Result, duplicates+1)
+	go func() { results <- first.book(t.Context(), "k") }()
+	<-reached
+	for range duplicates {
+		go func() { results <- second.book(t.Context(), "k") }()
+	}
+	for range duplicates {
+		<-second.slot.used
+	}
+	if got := second.book(t.Context(), "other"); outcome(got) != "completed" {
+		t.Errorf("the call with another key: %#v", got)
+	}
+	close(answered)
+	for range duplicates + 1 {
+		if got := <-results; outcome(got) != "completed" {
+			t.Errorf("a call with the same key: %#v", got)
+		}
+	}
+	runs.check(t, 1)
+}
+
+// dying is a table that fails after one write.
+type dying struct {
+	*memtable.Table
+	mu    sync.Mutex
+	wrote bool
+}
+
+func (d *dying) Write(ctx context.Context, writes []record.Write) record.WriteResult {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wrote {
+		return record.Refused{Err: os.ErrClosed}
+	}
+	d.wrote = true
+	return d.Table.Write(ctx, writes)
+}
+
+// TestTakenOverCallReservesAgain checks a call that gave its slot back while it
+// waited for a claim that was abandoned.
+func TestTakenOverCallReservesAgain(t *testing.T) {
+	tests := map[string]struct {
+		refuse int
+		want   string
+		runs   int
+	}{
+		"and runs":       {0, "completed", 1},
+		"and is refused": {2, "not_run", 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := &memtable.Table{}
+			runs := &counter{}
+			abandoned := newDesk(t, &dying{Table: table}, runs)
+			if got := abandoned.book(t.Context(), "k"); outcome(got) != "not_run" {
+				t.Fatalf("the abandoned call: %#v", got)
+			}
+			d := newDesk(t, table, runs)
+			d.slot.refuse = tt.refuse
+			got := d.book(t.Context(), "k")
+			if outcome(got) != tt.want {
+				t.Errorf("got %#v, want %s", got, tt.want)
+			}
+			if n := len(d.slot.used); n != 2 {
+				t.Errorf("%d reservations, want 2", n)
+			}
+			if len(d.slot.free) != 1 {
+				t.Error("the slot is not free")
+			}
+			runs.check(t, tt.runs)
+			if tt.refuse > 0 {
+				checkRefused(t, got)
+			}
+			d.slot.refuse = 0
+			if got := d.book(t.Context(), "k"); outcome(got) != "completed" {
+				t.Errorf("the repeat: %#v", got)
+			}
+			runs.check(t, 1)
+		})
+	}
+}
+
+// checkRefused checks that the caller learns of the lack of slots, and when to
+// come back.
+func checkRefused(t *testing.T, got answer.Result) {
+	t.Helper()
+	n, ok := got.(answer.NotRun)
+	if !ok {
+		return
+	}
+	if f := n.Failure(); f.Reason != answer.ReasonOverloaded || f.RetryAfter != 3*time.Second {
+		t.Errorf("refused as %+v", f)
+	}
+}
