reserve: move grants to new homes at once, and tell the soonest time to come back

What stays: grants are registered at a new home when the placement changes, not at the next renewal; of several homes without upstreams the soonest Retry-After counts.

--- a/instance/reserve/client.go
+++ b/instance/reserve/client.go
@@ -61,6 +61,8 @@
 	releases map[id.Instance][]queue.Released
 	// released has room for one signal that releases wait.
 	released chan struct{}
+	// updated has room for one signal that the view has changed.
+	updated chan struct{}
 	// lost holds, for each home, what to cancel when it is lost.
 	lost map[id.Instance]*homeWaits
 }
@@ -78,7 +80,10 @@
 var _ dispatch.Dispatcher = (*Client)(nil)
 
 // Init makes all methods usable before Run.
-func (c *Client) Init() { c.released = make(chan struct{}, 1) }
+func (c *Client) Init() {
+	c.released = make(chan struct{}, 1)
+	c.updated = make(chan struct{}, 1)
+}
 
 // Update replaces the view; waits at homes that it lacks end, and their
 // reservations go to other homes.
@@ -86,6 +91,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.view = v
+	select {
+	case c.updated <- struct{}{}:
+	default:
+	}
 	for instance, waits := range c.lost {
 		if _, live := v.Addresses[instance]; !live {
 			waits.cancel(errHomeLost)
--- a/instance/reserve/race.go
+++ b/instance/reserve/race.go
@@ -187,10 +187,15 @@
 }
 
 // worse keeps the refusal that tells most: one for capacity rather than one
-// for the lack of upstreams at a single home.
+// for the lack of upstreams at a single home, and of two for such a lack the
+// one that ends first.
 func worse(old dispatch.Refusal, d homes.Refused) dispatch.Refusal {
-	if d.Reason == queue.RefusedNoUpstream && old.Reason != queue.RefusedNoUpstream {
-		return old
+	if d.Reason != queue.RefusedNoUpstream {
+		return dispatch.Refusal{Reason: d.Reason, RetryAfter: d.RetryAfter}
 	}
-	return dispatch.Refusal{Reason: d.Reason, RetryAfter: d.RetryAfter}
+	sooner := d.RetryAfter > 0 && (old.RetryAfter == 0 || d.RetryAfter < old.RetryAfter)
+	if old.Reason == queue.RefusedNoUpstream && sooner {
+		old.RetryAfter = d.RetryAfter
+	}
+	return old
 }
--- a/instance/reserve/renew.go
+++ b/instance/reserve/renew.go
@@ -26,6 +26,8 @@
 			return nil
 		case <-ticker.C:
 			s.renewAll(ctx)
+		case <-c.updated:
+			s.moveAll(ctx)
 		case <-c.released:
 			s.releaseAll(ctx)
 		case f := <-s.done:
