--- a/instance/callers.go
+++ b/instance/callers.go
@@ -70,7 +70,11 @@
 
 // current reports whether the newest manifest that is known of is in force.
 func (i *Instance) current() bool {
-	return i.Index() != nil && i.learnt.Load() && !i.manifests.Behind()
+	if i.Index() == nil || !i.learnt.Load() || i.manifests.Behind() {
+		return false
+	}
+	newest, _, _ := i.manifests.Current()
+	return i.version() == newest
 }
 
 func (b *callerBackend) ManifestVersion() id.ManifestVersion { return (*Instance)(b).version() }
