instance: end only when its requests and the records of its calls have ended

Cause: requests outlived Run, and a leaving instance did not wait for answers of at-most-once calls that were still to be recorded.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -205,6 +206,10 @@
 	// operatorTimeout bounds the reading and the answering of an operator's
 	// request.
 	operatorTimeout = time.Minute
+	// lateRecords is how long a leaving instance waits for answers that are
+	// still to be recorded, lastRecords how long one that is ended does.
+	lateRecords = atmostonce.DefaultLateFor
+	lastRecords = time.Second
 	// drainPoll is how often a leaving instance looks whether it may end.
 	drainPoll = 20 * time.Millisecond
 	// maxBackground bounds the calls in the background at a time,
@@ -237,9 +242,20 @@
 		// The end of any part, also the drain, ends the others.
 		cancel()
 	}
+	i.awaitRecords(context.WithoutCancel(ctx), lastRecords)
 	return first
 }
 
+// awaitRecords waits for the records of at-most-once calls whose callers have
+// their answers already.
+func (i *Instance) awaitRecords(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := i.entry.Calls.Wait(ctx); err != nil {
+		klog.InfoS("records of calls left unfinished", "instance", i.Settings.Instance, "err", err)
+	}
+}
+
 func (i *Instance) tasks() []task {
 	return []task{
 		{"members", i.members.Run},
@@ -259,8 +275,19 @@
 	}
 }
 
-// serveHTTP serves until ctx ends.
+// serveHTTP serves until ctx ends, and returns when all requests have ended.
 func serveHTTP(ctx context.Context, l net.Listener, s *http.Server) error {
+	// Requests hold it for reading; whoever locks it is the last.
+	var open sync.RWMutex
+	defer open.Lock()
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !open.TryRLock() {
+			return
+		}
+		defer open.RUnlock()
+		next.ServeHTTP(w, r)
+	})
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	err := s.Serve(l)
--- a/instance/leaving.go
+++ b/instance/leaving.go
@@ -68,5 +68,6 @@
 			i.leaving.step(leave.InFlight{Requests: int(i.inFlight.Load()), Waiting: i.home.Held()})
 		}
 	}
+	i.awaitRecords(ctx, lateRecords)
 	return nil
 }
