--- a/coordination/queue/trial_test.go
+++ b/bench/trial/trial.go
@@ -1,4 +1,8 @@
-package queue_test
+// Package trial drives one queue with arithmetic engines and no network, to
+// compare ways of deciding:
+//
+//	go test -run xxx -bench Trial -benchtime 1x ./bench/trial
+package trial
 
 import (
 	"cmp"
@@ -13,34 +17,39 @@
 	"samphirehead/state/manifest"
 )
 
-// The trials drive one queue with arithmetic engines, to compare ways of
-// deciding: go test -run xxx -bench Trial -benchtime 1x ./coordination/queue
-
 const (
-	trialTime     = 60 * time.Second
+	// Duration is the simulated time of a trial.
+	Duration      = 60 * time.Second
+	engines       = 5
+	slots         = 16
+	queueBound    = 200
+	poolName      = id.Pool("model:m")
 	tokenTime     = 20 * time.Millisecond
 	prefillPerSec = 8000
 	// slowestToken is the target between two tokens.
 	slowestToken = 80 * time.Millisecond
 )
 
-// traffic is a stream of requests of one class and workspace.
-type traffic struct {
-	class     id.Class
-	workspace id.Workspace
-	perSecond float64
-	// bursts multiply the rate by 4 for one second of each four.
-	bursts bool
-	prompt id.Tokens
-	// answer is the mean length.
-	answer int
-	target time.Duration
-	// prefixes is from how many shared prompt prefixes requests draw.
-	prefixes int
-	// disguised requests carry the jurors' workspace.
-	disguised bool
+// Traffic is a stream of requests of one class and workspace.
+type Traffic struct {
+	Class     id.Class
+	Workspace id.Workspace
+	PerSecond float64
+	// Bursts multiply the rate by 4 for one second of each four.
+	Bursts bool
+	Prompt id.Tokens
+	// Answer is the mean length in tokens.
+	Answer int
+	Target time.Duration
+	// Prefixes is from how many shared prompt prefixes requests draw.
+	Prefixes int
+	// Disguise, unless empty, is the workspace that requests carry; they are
+	// scored under Workspace.
+	Disguise id.Workspace
 }
 
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
 // moment is something that happens at a time.
 type moment struct {
 	at  time.Time
@@ -67,7 +76,8 @@
 	class    id.Class
 }
 
-type trial struct {
+// Trial is one run.
+type Trial struct {
 	q       *queue.Queue
 	now     time.Time
 	agenda  moments
@@ -81,11 +91,13 @@
 	active  map[id.Upstream]int
 	cache   map[id.Upstream][]uint64
 	jobs    map[id.Reservation]*job
-	// overfull is how often an engine was seen to hold more KV tokens than
-	// it has, of looks.
-	overfull, looks int
-	kv              id.Tokens
-	scores          map[id.Workspace]*score
+	kv      id.Tokens
+
+	// Overfull is how often an engine was seen to hold more KV tokens than
+	// it has, of Looks.
+	Overfull, Looks int
+	// Scores has a score for each workspace of the traffic.
+	Scores map[id.Workspace]*Score
 }
 
 type job struct {
@@ -98,33 +110,35 @@
 	stopped  bool
 }
 
-type score struct {
-	sent, met, refused, preempted int
-	tokens                        id.Tokens
-	first                         []time.Duration
+// Score counts what became of the requests of one workspace.
+type Score struct {
+	Sent, Met, Refused, Preempted int
+	Tokens                        id.Tokens
+	// First has the times from grant to first token.
+	First []time.Duration
 }
 
-func (tr *trial) at(t time.Time, do func()) {
+func (tr *Trial) at(t time.Time, do func()) {
 	tr.seq++
 	heap.Push(&tr.agenda, moment{t, tr.seq, do})
 }
 
-func (tr *trial) step(ev queue.Event) {
+func (tr *Trial) step(ev queue.Event) {
 	for _, e := range tr.q.Step(tr.now, ev) {
 		switch e := e.(type) {
 		case queue.Granted:
-			tr.run(tr.jobs[e.Reservation], e.Upstream)
+			tr.serve(tr.jobs[e.Reservation], e.Upstream)
 		case queue.Refused:
-			tr.scores[tr.jobs[e.Reservation].scored].refused++
+			tr.Scores[tr.jobs[e.Reservation].scored].Refused++
 		case queue.Preempted:
 			tr.preempt(tr.jobs[e.Reservation])
 		}
 	}
 }
 
-// run reads prompts one after another and then adds tokens at a pace that
+// serve reads prompts one after another and then adds tokens at a pace that
 // falls with the engine's load.
-func (tr *trial) run(j *job, u id.Upstream) {
+func (tr *Trial) serve(j *job, u id.Upstream) {
 	factor := max(1, tr.slow[u])
 	work := float64(j.PromptTokens-tr.cached(u, j)) / prefillPerSec * factor
 	begin := tr.now
@@ -147,10 +161,10 @@
 			return
 		}
 		if j.ResumeOffset == 0 {
-			s := tr.scores[j.scored]
-			s.first = append(s.first, tr.now.Sub(started))
+			s := tr.Scores[j.scored]
+			s.First = append(s.First, tr.now.Sub(started))
 			if !tr.now.After(j.FirstTokenBy) && j.token <= slowestToken {
-				s.met++
+				s.Met++
 			}
 		}
 		tr.progress(j)
@@ -159,7 +173,7 @@
 }
 
 // cached returns the prompt tokens in the engine's cache of eight prefixes.
-func (tr *trial) cached(u id.Upstream, j *job) id.Tokens {
+func (tr *Trial) cached(u id.Upstream, j *job) id.Tokens {
 	if len(j.Prefix) == 0 {
 		return 0
 	}
@@ -175,7 +189,7 @@
 	return 0
 }
 
-func (tr *trial) progress(j *job) {
+func (tr *Trial) progress(j *job) {
 	if j.stopped {
 		return
 	}
@@ -183,14 +197,14 @@
 	tr.at(tr.now.Add(250*time.Millisecond), func() { tr.progress(j) })
 }
 
-func (tr *trial) reached(j *job) id.Tokens {
+func (tr *Trial) reached(j *job) id.Tokens {
 	if tr.now.Before(j.firstAt) {
 		return j.ResumeOffset
 	}
 	return min(j.answer, j.ResumeOffset+1+id.Tokens(tr.now.Sub(j.firstAt)/j.token))
 }
 
-func (tr *trial) finish(j *job, first time.Duration) {
+func (tr *Trial) finish(j *job, first time.Duration) {
 	if j.stopped {
 		return
 	}
@@ -198,14 +212,14 @@
 	tr.step(queue.Released{Reservation: j.Reservation, Tokens: j.answer, Outcome: queue.Completed, FirstToken: first})
 }
 
-func (tr *trial) stop(j *job) {
+func (tr *Trial) stop(j *job) {
 	j.stopped = true
 	tr.active[j.upstream]--
-	tr.scores[j.scored].tokens += tr.reached(j) - j.ResumeOffset
+	tr.Scores[j.scored].Tokens += tr.reached(j) - j.ResumeOffset
 }
 
-func (tr *trial) preempt(j *job) {
-	tr.scores[j.scored].preempted++
+func (tr *Trial) preempt(j *job) {
+	tr.Scores[j.scored].Preempted++
 	tr.at(tr.now.Add(2*time.Millisecond), func() {
 		if j.stopped {
 			return
@@ -221,35 +235,35 @@
 	})
 }
 
-func (tr *trial) send(tf traffic) {
-	if tr.now.Sub(start) > trialTime {
+func (tr *Trial) send(tf Traffic) {
+	if tr.now.Sub(start) > Duration {
 		return
 	}
 	name := fmt.Sprintf("r%d", len(tr.jobs))
-	j := &job{scored: tf.workspace, answer: id.Tokens(1 + tr.random.ExpFloat64()*float64(tf.answer))}
+	j := &job{scored: tf.Workspace, answer: id.Tokens(1 + tr.random.ExpFloat64()*float64(tf.Answer))}
 	j.Arrived = queue.Arrived{
-		Reservation: id.Reservation(name), Request: id.Request(name), Pool: poolName, Class: tf.class,
-		Workspace: tf.workspace, Holder: "entry-1", PromptTokens: tf.prompt,
-		FirstTokenBy: tr.now.Add(tf.target), Deadline: tr.now.Add(10 * time.Minute),
+		Reservation: id.Reservation(name), Request: id.Request(name), Pool: poolName, Class: tf.Class,
+		Workspace: tf.Workspace, Holder: "entry-1", PromptTokens: tf.Prompt,
+		FirstTokenBy: tr.now.Add(tf.Target), Deadline: tr.now.Add(10 * time.Minute),
 	}
-	if tf.disguised {
-		j.Workspace = jurors.workspace
+	if tf.Disguise != "" {
+		j.Workspace = tf.Disguise
 	}
-	if tf.prefixes > 0 {
-		j.Prefix = []uint64{1 + tr.random.Uint64N(uint64(tf.prefixes))}
+	if tf.Prefixes > 0 {
+		j.Prefix = []uint64{1 + tr.random.Uint64N(uint64(tf.Prefixes))}
 	}
 	tr.jobs[j.Reservation] = j
-	tr.scores[tf.workspace].sent++
+	tr.Scores[tf.Workspace].Sent++
 	tr.step(j.Arrived)
-	rate := tf.perSecond
-	if tf.bursts && int(tr.now.Sub(start)/time.Second)%4 == 0 {
+	rate := tf.PerSecond
+	if tf.Bursts && int(tr.now.Sub(start)/time.Second)%4 == 0 {
 		rate *= 4
 	}
 	tr.at(tr.now.Add(time.Duration(tr.random.ExpFloat64()/rate*float64(time.Second))), func() { tr.send(tf) })
 }
 
-func (tr *trial) tick() {
-	if tr.now.Sub(start) > trialTime {
+func (tr *Trial) tick() {
+	if tr.now.Sub(start) > Duration {
 		return
 	}
 	tr.step(queue.Ticked{})
@@ -258,7 +272,7 @@
 }
 
 // look checks the engines' KV memory.
-func (tr *trial) look() {
+func (tr *Trial) look() {
 	if tr.kv == 0 {
 		return
 	}
@@ -269,47 +283,66 @@
 		}
 	}
 	for _, n := range held {
-		tr.looks++
+		tr.Looks++
 		if n > tr.kv {
-			tr.overfull++
+			tr.Overfull++
 		}
 	}
 }
 
-// setting says what the engines are like.
-type setting struct {
-	// rigid engines can't resume.
-	rigid   bool
-	inOrder bool
-	slow    map[id.Upstream]float64
-	kv      id.Tokens
+// Setting says what the engines are like.
+type Setting struct {
+	// Rigid engines can't resume.
+	Rigid bool
+	// InOrder engines read prompts as they come.
+	InOrder bool
+	// Slow divides the speed of engines "e0" to "e4".
+	Slow map[id.Upstream]float64
+	// KV bounds the tokens held at an engine; 0 means no bound.
+	KV id.Tokens
 }
 
-// play runs the traffic for a minute over five engines of 16 slots.
-func play(q *queue.Queue, seed uint64, s setting, streams ...traffic) *trial {
-	tr := &trial{
-		q: q, now: start, random: rand.New(rand.NewPCG(seed, 1)), slow: s.slow, inOrder: s.inOrder, kv: s.kv,
+func class(name id.Class, tier id.Tier, share float64) manifest.Class {
+	return manifest.Class{
+		Name: name, Tier: tier, FirstToken: time.Second, TotalDeadline: time.Hour,
+		MinimumShare: share, QueueBound: queueBound,
+	}
+}
+
+func (s Setting) engine(n int) queue.Upstream {
+	return queue.Upstream{
+		Name: id.Upstream(fmt.Sprintf("e%d", n)), Pools: []id.Pool{poolName}, FailureDomain: "a", Resumes: !s.Rigid,
+		Capacity: manifest.Capacity{Slots: slots, KVTokens: s.KV, PrefillTokensPerSecond: prefillPerSec},
+	}
+}
+
+// Play runs traffic of the classes "quick" (tier 1) and "dossier" (tier 2)
+// over five engines of 16 slots. Equal seeds give equal trials.
+func Play(q *queue.Queue, seed uint64, s Setting, streams ...Traffic) *Trial {
+	tr := &Trial{
+		q: q, now: start, random: rand.New(rand.NewPCG(seed, 1)), slow: s.Slow, inOrder: s.InOrder, kv: s.KV,
 		prefill: map[lane]time.Time{}, active: map[id.Upstream]int{}, cache: map[id.Upstream][]uint64{},
-		jobs: map[id.Reservation]*job{}, scores: map[id.Workspace]*score{"jurors": {}, "archive": {}, "flood": {}},
+		jobs: map[id.Reservation]*job{}, Scores: map[id.Workspace]*Score{},
 	}
-	quick, dossier := class("quick", 1, 0), class("dossier", 2, 0.05)
-	quick.QueueBound, dossier.QueueBound = 200, 200
-	var engines []queue.Upstream
-	for i := range 5 {
-		e := engine(id.Upstream(fmt.Sprintf("e%d", i)), 16)
-		e.Resumes = !s.rigid
-		e.Capacity.KVTokens = s.kv
-		e.Capacity.PrefillTokensPerSecond = prefillPerSec
-		engines = append(engines, e)
+	configured := queue.Configured{Classes: []manifest.Class{class("quick", 1, 0), class("dossier", 2, 0.05)}}
+	for n := range engines {
+		configured.Upstreams = append(configured.Upstreams, s.engine(n))
 	}
-	tr.step(configured([]manifest.Class{quick, dossier}, engines...))
+	tr.step(configured)
 	for _, stream := range streams {
+		tr.Scores[stream.Workspace] = &Score{}
 		tr.at(start, func() { tr.send(stream) })
 	}
 	tr.at(start, tr.tick)
+	tr.run()
+	return tr
+}
+
+// run carries out the agenda until the end of the trial.
+func (tr *Trial) run() {
 	for len(tr.agenda) > 0 {
 		next := heap.Pop(&tr.agenda).(moment)
-		if next.at.Sub(start) > trialTime {
+		if next.at.Sub(start) > Duration {
 			break
 		}
 		tr.now = next.at
@@ -320,5 +353,4 @@
 			tr.stop(j)
 		}
 	}
-	return tr
 }
