--- a/instance/placement.go
+++ b/instance/placement.go
@@ -9,7 +9,8 @@
 
 // RunPlacements places models at engines whenever this instance holds the
 // placement lease, until ctx ends. It does nothing while the manifest lets no
-// engine hold several models.
+// engine hold several models. Run does not start it: requests are routed by the
+// models that the manifest allows an engine, not by those it has loaded.
 func (i *Instance) RunPlacements(ctx context.Context) error {
 	p := &placements.Placements{
 		Self:     i.Settings.Instance,
