entry: allow as many retries as the crash of two engines loses

Cause: a class without recent successes had three retries; the crash of one engine loses up to eight requests at a moment, innocent ones among them.

--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -21,8 +21,13 @@
 	"samphirehead/transport/service"
 )
 
-// defaultRetryAfter is told when the queue names no time.
-const defaultRetryAfter = time.Second
+const (
+	// defaultRetryAfter is told when the queue names no time.
+	defaultRetryAfter = time.Second
+	// retryFloor is how many retries of a class need no recent success: as
+	// many as two engines of 8 slots lose when they crash.
+	retryFloor = 16
+)
 
 // Admission decides before a request is queued; nil admits.
 type Admission func(ctx context.Context, workspace id.Workspace, tokens id.Tokens) *answer.Failure
@@ -54,6 +59,7 @@
 func (e *Entry) decide(k retry.Key, evidence retry.Evidence) retry.Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.retries.Floor = retryFloor
 	v := e.retries.Decide(time.Now(), k, evidence)
 	if v.Action == retry.Fail {
 		e.Metrics.Add("retries_refused_"+string(v.Reason), 1)
@@ -67,6 +73,7 @@
 func (e *Entry) succeeded(k retry.Key) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.retries.Floor = retryFloor
 	e.retries.Succeeded(time.Now(), k)
 }
 
