instance: sort the grants once a renewal, and set the retries' floor where the entry is made

Found on a second reading: renewals sorted all grants twice; the floor was set again at each decision; a map kept upstreams that nobody read; a comment named a function that does not exist.

--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -21,13 +21,8 @@
 	"samphirehead/transport/service"
 )
 
-const (
-	// defaultRetryAfter is told when the queue names no time.
-	defaultRetryAfter = time.Second
-	// retryFloor is how many retries of a class need no recent success: as
-	// many as two engines of 8 slots lose when they crash.
-	retryFloor = 16
-)
+// defaultRetryAfter is told when the queue names no time.
+const defaultRetryAfter = time.Second
 
 // Admission decides before a request is queued; nil admits.
 type Admission func(ctx context.Context, workspace id.Workspace, tokens id.Tokens) *answer.Failure
@@ -50,17 +45,17 @@
 	// Crashed hears of each upstream that broke under a request.
 	Crashed func(u id.Upstream, request id.Request, f id.Fingerprint)
 
+	// Retries is guarded by mu once requests are served.
+	Retries retry.Policy
+
 	mu sync.Mutex
-	// retries is guarded by mu.
-	retries retry.Policy
 }
 
 // decide returns what becomes of a request after a failed attempt.
 func (e *Entry) decide(k retry.Key, evidence retry.Evidence) retry.Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.retries.Floor = retryFloor
-	v := e.retries.Decide(time.Now(), k, evidence)
+	v := e.Retries.Decide(time.Now(), k, evidence)
 	if v.Action == retry.Fail {
 		e.Metrics.Add("retries_refused_"+string(v.Reason), 1)
 		return v
@@ -73,8 +68,7 @@
 func (e *Entry) succeeded(k retry.Key) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.retries.Floor = retryFloor
-	e.retries.Succeeded(time.Now(), k)
+	e.Retries.Succeeded(time.Now(), k)
 }
 
 // retryFailure explains why a request is not tried again.
--- a/instance/homes/home.go
+++ b/instance/homes/home.go
@@ -56,7 +56,7 @@
 	// waiters holds each reservation that waits.
 	waiters map[id.Reservation]waiter
 	// granted holds the reservations whose slots are in use.
-	granted map[id.Reservation]id.Upstream
+	granted map[id.Reservation]struct{}
 }
 
 // Run lets time pass for the queue until ctx ends.
@@ -119,7 +119,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.init()
-	h.granted[r.Reservation] = r.Upstream
+	h.granted[r.Reservation] = struct{}{}
 	h.apply(h.Queue.Step(time.Now(), r))
 }
 
@@ -195,7 +195,7 @@
 func (h *Home) init() {
 	if h.waiters == nil {
 		h.waiters = make(map[id.Reservation]waiter)
-		h.granted = make(map[id.Reservation]id.Upstream)
+		h.granted = make(map[id.Reservation]struct{})
 	}
 }
 
@@ -205,7 +205,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case queue.Granted:
-			h.granted[e.Reservation] = e.Upstream
+			h.granted[e.Reservation] = struct{}{}
 			h.decide(e.Reservation, Granted{Upstream: e.Upstream, Lease: e.Lease})
 		case queue.Refused:
 			h.decide(e.Reservation, Refused{Reason: e.Reason, RetryAfter: e.RetryAfter})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 
 	"samphirehead/coordination/member"
 	"samphirehead/coordination/queue"
+	"samphirehead/coordination/retry"
 	"samphirehead/coordination/suspect"
 	"samphirehead/instance/atmostonce"
 	"samphirehead/instance/dispatch"
@@ -187,6 +188,7 @@
 		Admit:      i.admit,
 		Used:       i.limits.Used,
 		Crashed:    i.crashed,
+		Retries:    retry.Policy{Floor: retryFloor},
 	}
 	if i.Baseline != nil {
 		i.entry.Dispatcher = i.Baseline(i.Index)
@@ -210,6 +212,9 @@
 	// still to be recorded, lastRecords how long one that is ended does.
 	lateRecords = atmostonce.DefaultLateFor
 	lastRecords = time.Second
+	// retryFloor is how many retries of a class need no recent success: as
+	// many as two engines of 8 slots lose when they crash.
+	retryFloor = 16
 	// drainPoll is how often a leaving instance looks whether it may end.
 	drainPoll = 20 * time.Millisecond
 	// maxBackground bounds the calls in the background at a time,
--- a/instance/reserve/sender.go
+++ b/instance/reserve/sender.go
@@ -68,15 +68,19 @@
 // moveAll tells new homes of the work that runs at their upstreams.
 func (s *sender) moveAll(ctx context.Context) {
 	moved, _ := s.client.sortHoldings()
+	s.move(ctx, moved)
+}
+
+func (s *sender) move(ctx context.Context, moved map[id.Instance][]holding) {
 	for home, holdings := range moved {
 		s.start(task{workMove, home}, func() error { return s.client.registerAll(ctx, holdings) })
 	}
 }
 
-// renewAll renews the grants whose upstreams have kept their homes.
+// renewAll moves the grants whose upstream has a new home, and renews the rest.
 func (s *sender) renewAll(ctx context.Context) {
-	s.moveAll(ctx)
-	_, byHome := s.client.sortHoldings()
+	moved, byHome := s.client.sortHoldings()
+	s.move(ctx, moved)
 	for home, holdings := range byHome {
 		s.start(task{workRenew, home}, func() error { return s.client.renew(ctx, home, holdings) })
 	}
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -46,7 +46,7 @@
 // Client talks to engines over pooled connections. It is safe for concurrent
 // use.
 type Client struct {
-	// HTTP is made by NewTransport's settings when nil at the first call.
+	// HTTP is never nil; NewHTTP makes one fit for engines.
 	HTTP *http.Client
 }
 
