--- /dev/null
+++ b/state/loglines/loglines.go
@@ -0,0 +1,116 @@
+// Package loglines keeps the writing of log lines away from the work that they
+// tell of: a reader that stops reading costs lines, not time.
+package loglines
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queuedLines bounds the lines that wait to be written.
+	queuedLines = 4096
+	// batchBytes is how much is written at once.
+	batchBytes = 16 << 10
+	// batchTime is how long a line waits for others.
+	batchTime = 50 * time.Millisecond
+	flushTime = 200 * time.Millisecond
+)
+
+// Writer writes lines in the background. To is set before the first Write. It
+// is safe for concurrent use.
+type Writer struct {
+	To io.Writer
+
+	once    sync.Once
+	lines   chan []byte
+	dropped atomic.Int64
+	// flushes holds channels that are closed once what came before is written.
+	flushes chan chan struct{}
+}
+
+// Write queues one line; it never waits. A line that finds the queue full is
+// dropped and counted.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.once.Do(w.start)
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were not written.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Flush waits a bounded time until the lines queued so far are written.
+func (w *Writer) Flush() {
+	w.once.Do(w.start)
+	done := make(chan struct{})
+	select {
+	case w.flushes <- done:
+	case <-time.After(flushTime):
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(flushTime):
+	}
+}
+
+func (w *Writer) start() {
+	w.lines = make(chan []byte, queuedLines)
+	w.flushes = make(chan chan struct{})
+	// The writer lives as long as the process: log lines come from all of it.
+	go w.run()
+}
+
+func (w *Writer) run() {
+	var batch []byte
+	for {
+		select {
+		case line := <-w.lines:
+			batch = append(batch, line...)
+		case done := <-w.flushes:
+			w.drain(batch)
+			batch = batch[:0]
+			close(done)
+			continue
+		}
+		time.Sleep(batchTime)
+		for len(batch) < batchBytes {
+			select {
+			case line := <-w.lines:
+				batch = append(batch, line...)
+				continue
+			default:
+			}
+			break
+		}
+		w.write(batch)
+		batch = batch[:0]
+	}
+}
+
+func (w *Writer) drain(batch []byte) {
+	for {
+		select {
+		case line := <-w.lines:
+			batch = append(batch, line...)
+		default:
+			w.write(batch)
+			return
+		}
+	}
+}
+
+func (w *Writer) write(batch []byte) {
+	if len(batch) == 0 {
+		return
+	}
+	// There is nowhere else to report a log that can't be written.
+	_, _ = w.To.Write(batch)
+}
--- /dev/null
+++ b/state/settings/router.go
@@ -0,0 +1,138 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"samphirehead/state/document"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+)
+
+// Router describes one instance that routes on the users' platform. All
+// addresses are an IP number and a TCP port.
+type Router struct {
+	// Instance is unique among all instances.
+	Instance id.Instance `yaml:"instance"`
+	// FailureDomain is where the instance runs.
+	FailureDomain id.FailureDomain `yaml:"failure_domain"`
+	// Region is the region of FailureDomain.
+	Region id.Region `yaml:"region"`
+
+	// CallerAddress is where callers are served.
+	CallerAddress string `yaml:"caller_address"`
+	// ReadinessAddress is where the platform asks whether the instance is
+	// ready.
+	ReadinessAddress string `yaml:"readiness_address"`
+	// DirectoryAddress is where callers ask for entries.
+	DirectoryAddress string `yaml:"directory_address"`
+	// PeerAddress is where other instances are served.
+	PeerAddress string `yaml:"peer_address"`
+	// OperatorAddress is where metrics are served; empty serves none.
+	OperatorAddress string `yaml:"operator_address,omitempty"`
+	// PlatformAddress is where the platform's store answers.
+	PlatformAddress string `yaml:"platform_address"`
+	// Seeds are peer addresses to begin with; they may be out of date.
+	Seeds []string `yaml:"seeds,omitempty"`
+
+	// Exactly one of PeerSecretFile and PeerSecretEnv is set.
+	PeerSecretFile string `yaml:"peer_secret_file,omitempty"`
+	PeerSecretEnv  string `yaml:"peer_secret_env,omitempty"`
+	// PeerSecret is not part of the file; LoadRouter fills it.
+	PeerSecret Secret `yaml:"-"`
+
+	// LogLevel is LogInfo where the file names none.
+	LogLevel LogLevel `yaml:"log_level"`
+	// MemoryBytes bounds the memory of the process; 0 means no bound.
+	MemoryBytes int64 `yaml:"memory_bytes,omitempty"`
+	// Grace is how long the process may run on after it was told to leave.
+	Grace time.Duration `yaml:"grace"`
+	// EntryLifetime is how long callers keep an answer of the directory.
+	EntryLifetime time.Duration `yaml:"entry_lifetime"`
+	// Retries is the budget of all instances for sending requests again.
+	Retries Retries `yaml:"retries"`
+}
+
+// Retries is a budget of repeats for each service: a ratio of its requests and
+// a slack, in any window.
+type Retries struct {
+	Ratio  float64       `yaml:"ratio"`
+	Slack  float64       `yaml:"slack"`
+	Window time.Duration `yaml:"window"`
+}
+
+// The values where the file names none.
+const (
+	DefaultGrace         = 8 * time.Second
+	DefaultEntryLifetime = time.Second
+	DefaultRetryRatio    = 0.2
+	DefaultRetrySlack    = 16
+	DefaultRetryWindow   = 10 * time.Second
+)
+
+// ParseRouter decodes and checks a settings file without reading its secret.
+// Its error is a *document.Faults with everything that is wrong.
+func ParseRouter(name string, data []byte) (*Router, error) {
+	s := &Router{
+		LogLevel:      LogInfo,
+		Grace:         DefaultGrace,
+		EntryLifetime: DefaultEntryLifetime,
+		Retries:       Retries{Ratio: DefaultRetryRatio, Slack: DefaultRetrySlack, Window: DefaultRetryWindow},
+	}
+	d, err := document.Decode(name, data, s)
+	if err != nil {
+		return nil, err
+	}
+	c := checker{document: d, settings: &Settings{LogLevel: s.LogLevel}}
+	c.router(s)
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// LoadRouter reads the file at path and the secret that it names.
+func LoadRouter(path string) (*Router, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.At("read settings", "", err)
+	}
+	s, err := ParseRouter(path, data)
+	if err != nil {
+		return nil, err
+	}
+	s.PeerSecret, err = ReadSecret(s.PeerSecretFile, s.PeerSecretEnv)
+	return s, fault.At("read peer secret", "", err)
+}
+
+func (c *checker) router(s *Router) {
+	c.name("instance", string(s.Instance))
+	c.name("failure_domain", string(s.FailureDomain))
+	c.name("region", string(s.Region))
+	c.address("caller_address", s.CallerAddress, document.DialAddress)
+	c.address("readiness_address", s.ReadinessAddress, document.ListenAddress)
+	c.address("directory_address", s.DirectoryAddress, document.ListenAddress)
+	c.address("peer_address", s.PeerAddress, document.DialAddress)
+	if s.OperatorAddress != "" {
+		c.address("operator_address", s.OperatorAddress, document.ListenAddress)
+	}
+	c.address("platform_address", s.PlatformAddress, document.DialAddress)
+	for _, seed := range s.Seeds {
+		c.address("seeds", seed, document.DialAddress)
+	}
+	c.secret("peer_secret", s.PeerSecretFile, s.PeerSecretEnv)
+	c.logLevel()
+	if s.MemoryBytes < 0 {
+		c.fault("memory_bytes", "want at least 0")
+	}
+	for field, value := range map[string]time.Duration{
+		"grace": s.Grace, "entry_lifetime": s.EntryLifetime, "retries.window": s.Retries.Window,
+	} {
+		if value <= 0 {
+			c.fault(field, "want more than 0s")
+		}
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
+		c.fault("retries", "want a ratio and a slack of at least 0")
+	}
+}
