--- /dev/null
+++ b/coordination/choice/choice.go
@@ -0,0 +1,373 @@
+// Package choice decides to which upstream of a service an entry sends a
+// request. Entries decide alone; they tell each other what they have in
+// progress. It is a pure machine: events and times go in.
+package choice
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"samphirehead/coordination/registry"
+	"samphirehead/state/id"
+	"samphirehead/state/routing"
+)
+
+// Part is one part of a prompt, in order. Requests share parts.
+type Part struct {
+	Name   string
+	Tokens id.Tokens
+}
+
+// Request is what matters of a request for the choice.
+type Request struct {
+	// Ticket numbers the request at this entry.
+	Ticket Ticket
+	// Parts is empty for requests to plain services. The last part belongs to
+	// the request or its session alone.
+	Parts []Part
+	// Objective is the time to the first event or the whole answer.
+	Objective time.Duration
+	// Sensitive requests stream with an objective for pauses.
+	Sensitive bool
+	// Excluded upstreams are not chosen.
+	Excluded []id.Upstream
+}
+
+// Ticket numbers the requests of one entry.
+type Ticket uint64
+
+// Choice is a chosen upstream.
+type Choice struct {
+	registry.Entry
+	// Prefill is how many tokens the upstream is expected to read.
+	Prefill id.Tokens
+	// Ahead is how many it is expected to read before.
+	Ahead id.Tokens
+	// Rank is the place of the upstream in the order of affinity; 0 is the
+	// first.
+	Rank int
+}
+
+// Load is what one entry has in progress at an upstream.
+type Load struct {
+	Running   int
+	Prefill   id.Tokens
+	Sensitive int
+}
+
+// Event is one input of the chooser.
+type Event interface{ event() }
+
+// Configured sets the service and its usable upstreams.
+type Configured struct {
+	Service   routing.Service
+	Upstreams []registry.Entry
+	// Tightest is the shortest objective of a streaming route of the service.
+	Tightest time.Duration
+}
+
+// Started reports the first byte of an answer.
+type Started struct{ Ticket Ticket }
+
+// Ended reports that a request no longer runs. Failed is set when the upstream
+// broke it off or gave no answer, Unreached when it could not be connected to.
+type Ended struct {
+	Ticket    Ticket
+	Failed    bool
+	Unreached bool
+}
+
+// Heard brings the load and the demand of another instance.
+type Heard struct {
+	Instance id.Instance
+	Loads    map[id.Upstream]Load
+	Demand   Demand
+}
+
+// Warned reports that another instance keeps away from an upstream.
+type Warned struct {
+	Upstream id.Upstream
+	For      time.Duration
+}
+
+func (Configured) event() {}
+func (Started) event()    {}
+func (Ended) event()      {}
+func (Heard) event()      {}
+func (Warned) event()     {}
+
+const (
+	// heardFor is how long the load of another instance counts.
+	heardFor = time.Second
+	// failureLimit is the number of failures in a row that eject an upstream.
+	failureLimit    = 3
+	firstEjection   = 500 * time.Millisecond
+	longestEjection = 4 * time.Second
+)
+
+// Chooser chooses among the upstreams of one service. Its exported fields are
+// set before the first Step. It is not safe for concurrent use.
+type Chooser struct {
+	// FailureDomain is where this entry runs.
+	FailureDomain id.FailureDomain
+
+	service   routing.Service
+	tightest  time.Duration
+	upstreams []*upstream
+	byName    map[id.Upstream]*upstream
+	running   map[Ticket]*run
+	others    map[id.Instance]heard
+	lanes     lanes
+}
+
+// upstream is what is known of one upstream.
+type upstream struct {
+	registry.Entry
+	own   Load
+	cache cache
+	// failures counts those in a row.
+	failures     int
+	ejectedUntil time.Time
+	ejections    int
+	// warnedUntil is how long another entry keeps away.
+	warnedUntil time.Time
+}
+
+// run is a request in progress.
+type run struct {
+	upstream  *upstream
+	prefill   id.Tokens
+	sensitive bool
+	started   bool
+}
+
+type heard struct {
+	Heard
+	at time.Time
+}
+
+// Step applies ev at now.
+func (c *Chooser) Step(now time.Time, ev Event) {
+	c.init()
+	switch ev := ev.(type) {
+	case Configured:
+		c.configure(ev)
+	case Started:
+		c.start(ev.Ticket)
+	case Ended:
+		c.end(now, ev)
+	case Heard:
+		c.others[ev.Instance] = heard{Heard: ev, at: now}
+	case Warned:
+		if u, ok := c.byName[ev.Upstream]; ok {
+			u.warnedUntil = now.Add(min(ev.For, longestEjection))
+		}
+	}
+}
+
+func (c *Chooser) init() {
+	if c.running != nil {
+		return
+	}
+	c.byName = make(map[id.Upstream]*upstream)
+	c.running = make(map[Ticket]*run)
+	c.others = make(map[id.Instance]heard)
+}
+
+func (c *Chooser) configure(ev Configured) {
+	c.service, c.tightest = ev.Service, ev.Tightest
+	byName := make(map[id.Upstream]*upstream, len(ev.Upstreams))
+	c.upstreams = c.upstreams[:0]
+	for _, e := range ev.Upstreams {
+		u, known := c.byName[e.Upstream]
+		if !known || u.Address != e.Address || u.Born != e.Born {
+			u = &upstream{}
+		}
+		u.Entry = e
+		byName[e.Upstream] = u
+		c.upstreams = append(c.upstreams, u)
+	}
+	c.byName = byName
+}
+
+func (c *Chooser) start(ticket Ticket) {
+	r, ok := c.running[ticket]
+	if !ok || r.started {
+		return
+	}
+	r.started = true
+	r.upstream.own.Prefill -= r.prefill
+}
+
+func (c *Chooser) end(now time.Time, ev Ended) {
+	r, ok := c.running[ev.Ticket]
+	if !ok {
+		return
+	}
+	delete(c.running, ev.Ticket)
+	u := r.upstream
+	u.own.Running--
+	if !r.started {
+		u.own.Prefill -= r.prefill
+	}
+	if r.sensitive {
+		u.own.Sensitive--
+	}
+	switch {
+	case ev.Unreached:
+		u.eject(now)
+	case ev.Failed:
+		u.failures++
+		if u.failures >= failureLimit {
+			u.eject(now)
+		}
+	case r.started:
+		u.succeed(now)
+	}
+}
+
+// eject keeps an upstream away for a time that grows with each ejection in a
+// row. One more failure after it ejects the upstream again.
+func (u *upstream) eject(now time.Time) {
+	if now.Before(u.ejectedUntil) {
+		return
+	}
+	u.ejectedUntil = now.Add(min(firstEjection<<min(u.ejections, 8), longestEjection))
+	u.ejections++
+	u.failures = failureLimit - 1
+	u.cache = cache{}
+}
+
+// succeed counts a whole answer. An upstream that has been good for a while is
+// given its full credit back.
+func (u *upstream) succeed(now time.Time) {
+	u.failures = 0
+	if now.Sub(u.ejectedUntil) > longestEjection {
+		u.ejections = 0
+	}
+}
+
+// away reports whether the upstream is kept from being chosen.
+func (u *upstream) away(now time.Time) bool {
+	return now.Before(u.ejectedUntil) || now.Before(u.warnedUntil)
+}
+
+// Ejected returns the upstreams that this entry keeps away from, and how long.
+func (c *Chooser) Ejected(now time.Time) map[id.Upstream]time.Duration {
+	ejected := make(map[id.Upstream]time.Duration)
+	for _, u := range c.upstreams {
+		if left := u.ejectedUntil.Sub(now); left > 0 {
+			ejected[u.Upstream] = left
+		}
+	}
+	return ejected
+}
+
+// Loads returns what this entry has in progress.
+func (c *Chooser) Loads() map[id.Upstream]Load {
+	loads := make(map[id.Upstream]Load)
+	for _, u := range c.upstreams {
+		if u.own.Running > 0 {
+			loads[u.Upstream] = u.own
+		}
+	}
+	return loads
+}
+
+// Free returns the share of the places of all upstreams that are free.
+func (c *Chooser) Free(now time.Time) float64 {
+	slots, taken := 0, 0
+	for _, u := range c.upstreams {
+		if u.away(now) {
+			continue
+		}
+		slots += u.Slots
+		taken += min(c.load(now, u).Running, u.Slots)
+	}
+	if slots == 0 {
+		return 0
+	}
+	return 1 - float64(taken)/float64(slots)
+}
+
+// Choose takes an upstream for a request and counts it as running there. It
+// returns false where no upstream is left.
+func (c *Chooser) Choose(now time.Time, r Request) (Choice, bool) {
+	c.init()
+	candidates := c.candidates(now, r)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	var chosen Choice
+	var u *upstream
+	if c.service.Engine == nil || len(r.Parts) == 0 {
+		u = c.leastLoaded(now, candidates)
+		chosen.Entry = u.Entry
+	} else {
+		u, chosen = c.engine(now, r, candidates)
+	}
+	u.own.Running++
+	u.own.Prefill += chosen.Prefill
+	if r.Sensitive {
+		u.own.Sensitive++
+	}
+	c.running[r.Ticket] = &run{upstream: u, prefill: chosen.Prefill, sensitive: r.Sensitive}
+	return chosen, true
+}
+
+// candidates returns the upstreams that are not excluded. Ejected ones are
+// among them only where no other is left.
+func (c *Chooser) candidates(now time.Time, r Request) []*upstream {
+	var good, ejected []*upstream
+	for _, u := range c.upstreams {
+		switch {
+		case slices.Contains(r.Excluded, u.Upstream):
+		case u.away(now):
+			ejected = append(ejected, u)
+		default:
+			good = append(good, u)
+		}
+	}
+	if len(good) > 0 {
+		return good
+	}
+	return ejected
+}
+
+// load adds up what all entries have in progress at an upstream.
+func (c *Chooser) load(now time.Time, u *upstream) Load {
+	total := u.own
+	for _, h := range c.others {
+		if now.Sub(h.at) > heardFor {
+			continue
+		}
+		l := h.Loads[u.Upstream]
+		total.Running += l.Running
+		total.Prefill += l.Prefill
+		total.Sensitive += l.Sensitive
+	}
+	return total
+}
+
+// leastLoaded returns the candidate with the least work in progress, the
+// entry's own failure domain first.
+func (c *Chooser) leastLoaded(now time.Time, candidates []*upstream) *upstream {
+	return slices.MinFunc(candidates, func(a, b *upstream) int {
+		la, lb := c.load(now, a).Running, c.load(now, b).Running
+		if la != lb {
+			return la - lb
+		}
+		if near := c.far(a) - c.far(b); near != 0 {
+			return near
+		}
+		return strings.Compare(string(a.Upstream), string(b.Upstream))
+	})
+}
+
+func (c *Chooser) far(u *upstream) int {
+	if u.FailureDomain == c.FailureDomain {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/coordination/choice/choice_test.go
@@ -0,0 +1,223 @@
+package choice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/choice"
+	"samphirehead/coordination/registry"
+	"samphirehead/state/id"
+	"samphirehead/state/routing"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	tightest = 250 * time.Millisecond
+	long     = 1500 * time.Millisecond
+)
+
+func upstreams(n, slots int) []registry.Entry {
+	var all []registry.Entry
+	for i := range n {
+		all = append(all, registry.Entry{
+			Upstream:      id.Upstream(fmt.Sprintf("u%02d", i)),
+			Address:       fmt.Sprintf("10.0.0.%d:1", i),
+			FailureDomain: id.FailureDomain(fmt.Sprintf("z%d", i%3)),
+			Slots:         slots,
+		})
+	}
+	return all
+}
+
+// chooser has engines, or plain workers where tokens is 0.
+func chooser(n int, tokens id.Tokens) *choice.Chooser {
+	c := &choice.Chooser{FailureDomain: "z0"}
+	service := routing.Service{Name: "s"}
+	if tokens > 0 {
+		service.Engine = &routing.Engine{Slots: 64, KVTokens: tokens}
+	}
+	c.Step(start, choice.Configured{Service: service, Upstreams: upstreams(n, 6), Tightest: tightest})
+	return c
+}
+
+func prompt(session int) []choice.Part {
+	return []choice.Part{
+		{Name: "system", Tokens: 2500},
+		{Name: fmt.Sprintf("session%d", session), Tokens: 3800},
+		{Name: fmt.Sprintf("own%d", session), Tokens: 2900},
+	}
+}
+
+// tickets numbers the requests of one test.
+type tickets struct{ last choice.Ticket }
+
+func (t *tickets) next() choice.Ticket {
+	t.last++
+	return t.last
+}
+
+func TestPlainRequestsGoToTheLeastLoaded(t *testing.T) {
+	c := chooser(3, 0)
+	var n tickets
+	count := map[id.Upstream]int{}
+	for range 6 {
+		got, ok := c.Choose(start, choice.Request{Ticket: n.next()})
+		if !ok {
+			t.Fatal("no upstream")
+		}
+		count[got.Upstream]++
+	}
+	for u, n := range count {
+		if n != 2 {
+			t.Errorf("%s has %d of 6 requests", u, n)
+		}
+	}
+}
+
+func TestOthersLoadCountsForAWhile(t *testing.T) {
+	c := chooser(3, 0)
+	c.Step(start, choice.Heard{Instance: "other", Loads: map[id.Upstream]choice.Load{"u00": {Running: 5}, "u01": {Running: 5}}})
+	if got, _ := c.Choose(start, choice.Request{Ticket: 1}); got.Upstream != "u02" {
+		t.Errorf("chose %s beside another instance's load", got.Upstream)
+	}
+	c.Step(start, choice.Ended{Ticket: 1})
+	if got, _ := c.Choose(start.Add(time.Minute), choice.Request{Ticket: 2}); got.Upstream != "u00" {
+		t.Errorf("chose %s by a load that is a minute old", got.Upstream)
+	}
+}
+
+func TestExcludedUpstreamsAreNotChosen(t *testing.T) {
+	c := chooser(2, 0)
+	if got, _ := c.Choose(start, choice.Request{Ticket: 1, Excluded: []id.Upstream{"u00"}}); got.Upstream != "u01" {
+		t.Errorf("chose %s", got.Upstream)
+	}
+	if _, ok := c.Choose(start, choice.Request{Ticket: 2, Excluded: []id.Upstream{"u00", "u01"}}); ok {
+		t.Error("chose an excluded upstream")
+	}
+}
+
+func TestFailingUpstreamIsLeftAloneForAWhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		failures int
+		ended    choice.Ended
+		want     bool
+	}{
+		"unreached":       {1, choice.Ended{Unreached: true}, true},
+		"failed once":     {1, choice.Ended{Failed: true}, false},
+		"failed in a row": {3, choice.Ended{Failed: true}, true},
+	} {
+		chooser := chooser(2, 0)
+		var n tickets
+		for range c.failures {
+			ended := c.ended
+			ended.Ticket = n.next()
+			chooser.Choose(start, choice.Request{Ticket: ended.Ticket, Excluded: []id.Upstream{"u01"}})
+			chooser.Step(start, ended)
+		}
+		if got := chooser.Ejected(start)["u00"] > 0; got != c.want {
+			t.Errorf("%s: ejected %t, want %t", name, got, c.want)
+		}
+		if got := chooser.Ejected(start.Add(time.Minute))["u00"] > 0; got {
+			t.Errorf("%s: ejected for a minute", name)
+		}
+	}
+}
+
+// Where all are failing, requests go to one of them rather than nowhere.
+func TestLastUpstreamIsUsedThoughItFails(t *testing.T) {
+	c := chooser(1, 0)
+	c.Choose(start, choice.Request{Ticket: 1})
+	c.Step(start, choice.Ended{Ticket: 1, Unreached: true})
+	if _, ok := c.Choose(start, choice.Request{Ticket: 2}); !ok {
+		t.Error("no upstream, though one is known")
+	}
+}
+
+func TestWarningOfAnotherInstance(t *testing.T) {
+	c := chooser(2, 0)
+	c.Step(start, choice.Warned{Upstream: "u00", For: time.Second})
+	if got, _ := c.Choose(start, choice.Request{Ticket: 1}); got.Upstream != "u01" {
+		t.Errorf("chose %s", got.Upstream)
+	}
+	if len(c.Ejected(start)) != 0 {
+		t.Error("a warning is passed on as an experience of one's own")
+	}
+}
+
+// Requests that share a prompt keep together, at all instances alike.
+func TestAffinity(t *testing.T) {
+	for session := range 20 {
+		var chosen []id.Upstream
+		for range 3 {
+			c := chooser(18, 240_000)
+			got, _ := c.Choose(start, choice.Request{Ticket: 1, Parts: prompt(session), Objective: long})
+			chosen = append(chosen, got.Upstream)
+		}
+		if chosen[0] != chosen[1] || chosen[1] != chosen[2] {
+			t.Errorf("session %d goes to %v", session, chosen)
+		}
+	}
+}
+
+// A session that gets much of the traffic spreads over several engines.
+func TestHotSessionSpreads(t *testing.T) {
+	c := chooser(18, 240_000)
+	var n tickets
+	used := map[id.Upstream]bool{}
+	for i := range 40 {
+		parts := prompt(1)
+		parts[2].Name = fmt.Sprint(i)
+		got, _ := c.Choose(start, choice.Request{Ticket: n.next(), Parts: parts, Objective: long})
+		used[got.Upstream] = true
+	}
+	if len(used) < 4 {
+		t.Errorf("40 requests at once use %d engines", len(used))
+	}
+}
+
+// Pattern: bulk prompts and streams with an objective for pauses at once. They
+// run on different engines, whatever their order.
+func TestBulkStaysAwayFromSensitiveStreams(t *testing.T) {
+	for _, engines := range []int{3, 8, 12, 18} {
+		c := chooser(engines, 240_000)
+		var n tickets
+		bulk, sensitive := map[id.Upstream]bool{}, map[id.Upstream]bool{}
+		now := start
+		for i := range 400 {
+			now = now.Add(10 * time.Millisecond)
+			got, _ := c.Choose(now, choice.Request{Ticket: n.next(), Parts: prompt(i), Objective: long, Sensitive: true})
+			c.Step(now, choice.Started{Ticket: n.last})
+			c.Step(now, choice.Ended{Ticket: n.last})
+			bulk[got.Upstream] = true
+			got, _ = c.Choose(now, choice.Request{
+				Ticket: n.next(), Parts: []choice.Part{{Name: fmt.Sprint(i), Tokens: 500}}, Objective: tightest, Sensitive: true,
+			})
+			c.Step(now, choice.Started{Ticket: n.last})
+			if n.last > 60 {
+				c.Step(now, choice.Ended{Ticket: n.last - 60})
+			}
+			sensitive[got.Upstream] = true
+		}
+		both := 0
+		for u := range bulk {
+			if sensitive[u] {
+				both++
+			}
+		}
+		if limit := engines / 6; both > limit {
+			t.Errorf("%d of %d engines ran both kinds, want at most %d", both, engines, limit)
+		}
+	}
+}
+
+// Pattern: a single engine left. It runs everything.
+func TestOneEngineRunsAll(t *testing.T) {
+	c := chooser(1, 240_000)
+	for ticket, objective := range map[choice.Ticket]time.Duration{1: long, 2: tightest} {
+		if _, ok := c.Choose(start, choice.Request{Ticket: ticket, Parts: prompt(1), Objective: objective}); !ok {
+			t.Errorf("no engine for an objective of %s", objective)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/pulse/pulse_test.go
@@ -0,0 +1,164 @@
+package pulse_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/pulse"
+	"samphirehead/state/id"
+)
+
+// cluster exchanges the messages of some machines without a network.
+type cluster struct {
+	t        *testing.T
+	now      time.Time
+	machines map[string]*pulse.Machine
+	down     map[string]bool
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{t: t, now: time.Unix(1000, 0), machines: map[string]*pulse.Machine{}, down: map[string]bool{}}
+	for i := range n {
+		c.add(i, 1)
+	}
+	return c
+}
+
+// add starts an instance, which knows the first one's address.
+func (c *cluster) add(i, incarnation int) {
+	m := &pulse.Machine{
+		Self: pulse.Record{
+			Instance:    id.Instance(fmt.Sprintf("i%d", i)),
+			Incarnation: id.Incarnation(incarnation),
+			PeerAddress: address(i), CallerAddress: address(i),
+		},
+		Random: rand.New(rand.NewPCG(uint64(i), 7)),
+	}
+	m.Step(c.now, pulse.Named{Addresses: []string{address(0)}})
+	m.Step(c.now, pulse.Updated{Ready: true})
+	c.machines[address(i)] = m
+}
+
+func (c *cluster) swap(from *pulse.Machine, to string) {
+	target := c.machines[to]
+	if c.down[to] || target == nil {
+		from.Step(c.now, pulse.Unreached{Address: to})
+		return
+	}
+	self, others := from.Message(c.now)
+	target.Step(c.now, pulse.Heard{From: self, Records: others})
+	self, others = target.Message(c.now)
+	from.Step(c.now, pulse.Heard{From: self, Records: others})
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(pulse.Interval) {
+		for _, a := range c.addresses() {
+			if c.down[a] {
+				continue
+			}
+			for _, to := range c.machines[a].Step(c.now, pulse.Ticked{}) {
+				c.swap(c.machines[a], to)
+			}
+		}
+	}
+}
+
+func (c *cluster) addresses() []string {
+	var all []string
+	for a := range c.machines {
+		all = append(all, a)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// check asserts that all running instances name just those addresses.
+func (c *cluster) check(want ...int) {
+	c.t.Helper()
+	for a, m := range c.machines {
+		if c.down[a] {
+			continue
+		}
+		entries := m.Entries(c.now)
+		if len(entries) != len(want) {
+			c.t.Errorf("%s names %d entries, want %d", a, len(entries), len(want))
+		}
+		for _, i := range want {
+			if !slices.ContainsFunc(entries, func(r pulse.Record) bool { return r.PeerAddress == address(i) }) {
+				c.t.Errorf("%s does not name %s", a, address(i))
+			}
+		}
+	}
+}
+
+func TestInstancesFindEachOther(t *testing.T) {
+	c := newCluster(t, 4)
+	c.run(time.Second)
+	c.check(0, 1, 2, 3)
+}
+
+func TestSilentInstanceIsNotNamed(t *testing.T) {
+	c := newCluster(t, 4)
+	c.run(time.Second)
+	c.down[address(2)] = true
+	c.run(2 * time.Second)
+	c.check(0, 1, 3)
+	c.down[address(2)] = false
+	c.run(time.Second)
+	c.check(0, 1, 2, 3)
+}
+
+func TestLeavingInstanceIsNotNamedAtOnce(t *testing.T) {
+	c := newCluster(t, 4)
+	c.run(time.Second)
+	leaver := c.machines[address(1)]
+	for _, to := range leaver.Step(c.now, pulse.Updated{Leaving: true}) {
+		c.swap(leaver, to)
+	}
+	c.check(0, 2, 3)
+	c.run(2 * time.Second)
+	c.check(0, 2, 3)
+}
+
+func TestRestartedInstanceIsNamedAgain(t *testing.T) {
+	c := newCluster(t, 3)
+	c.run(time.Second)
+	c.machines[address(1)].Step(c.now, pulse.Updated{Leaving: true})
+	c.run(time.Second)
+	c.check(0, 2)
+	c.add(1, 2)
+	c.run(time.Second)
+	c.check(0, 1, 2)
+}
+
+func TestPausedInstanceBlamesNobody(t *testing.T) {
+	c := newCluster(t, 2)
+	c.run(time.Second)
+	m := c.machines[address(0)]
+	c.now = c.now.Add(10 * time.Second)
+	m.Step(c.now, pulse.Ticked{})
+	if n := len(m.Entries(c.now)); n != 2 {
+		t.Errorf("after a pause of its own an instance names %d entries, want 2", n)
+	}
+}
+
+func TestMessagesAreBounded(t *testing.T) {
+	c := newCluster(t, 60)
+	c.run(3 * time.Second)
+	_, others := c.machines[address(5)].Message(c.now)
+	if len(others) > pulse.MaxRecords {
+		t.Errorf("a message has %d records, want at most %d", len(others), pulse.MaxRecords)
+	}
+	if n := len(c.machines[address(5)].Step(c.now, pulse.Ticked{})); n > pulse.Fanout {
+		t.Errorf("%d exchanges in one interval, want at most %d", n, pulse.Fanout)
+	}
+	if n := len(c.machines[address(5)].Entries(c.now)); n != 60 {
+		t.Errorf("%d of 60 instances are named", n)
+	}
+}
