--- a/commands/docs_test.go
+++ b/commands/docs_test.go
@@ -46,7 +46,9 @@
 func TestEveryKeyHasItsLine(t *testing.T) {
 	for page, root := range map[string]reflect.Type{
 		"docs/man/settings.md": reflect.TypeFor[settings.Settings](),
-		"docs/man/manifest.md": reflect.TypeFor[manifest.Manifest](),
+
+		"docs/man/router-settings.md": reflect.TypeFor[settings.Router](),
+		"docs/man/manifest.md":        reflect.TypeFor[manifest.Manifest](),
 	} {
 		text := readDoc(t, page)
 		for _, key := range keysOf(root) {
--- /dev/null
+++ b/commands/route.go
@@ -0,0 +1,120 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
+
+	"samphirehead/platform"
+	"samphirehead/router"
+	"samphirehead/state/loglines"
+	"samphirehead/state/settings"
+)
+
+const (
+	// settingsVariable names the settings file where no flag does.
+	settingsVariable = "SAMPHIREHEAD_SETTINGS"
+	// memoryShare is the part of the memory that the heap is held to.
+	memoryShare = 0.6
+)
+
+// routeCommand runs one instance on the users' platform.
+type routeCommand struct {
+	settings string
+}
+
+func init() { register(groupRun, &routeCommand{}) }
+
+func (*routeCommand) Name() string     { return "route" }
+func (*routeCommand) Synopsis() string { return "run one instance on the users' platform" }
+func (*routeCommand) Usage() string {
+	return "route [-settings FILE]\n\n" +
+		"Runs one instance that takes its routes and upstreams from the platform's\n" +
+		"store. SIGTERM makes it leave, SIGHUP read its settings again.\n\n"
+}
+
+func (c *routeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", os.Getenv(settingsVariable), "the settings `file`")
+}
+
+func (c *routeCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	s, err := settings.LoadRouter(c.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	lines := &loglines.Writer{To: os.Stdout}
+	SetLogging(lines, s.LogLevel)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	err = c.route(ctx, s, lines)
+	if err != nil {
+		klog.ErrorS(err, "router failed", "instance", s.Instance)
+	}
+	lines.Flush()
+	if err != nil {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// route runs an instance until it has left; a second SIGTERM ends it at once.
+func (c *routeCommand) route(ctx context.Context, s *settings.Router, lines *loglines.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	defer signal.Stop(signals)
+
+	r := &router.Router{
+		Settings: s,
+		Platform: &platform.Platform{Address: s.PlatformAddress},
+		Dialect:  platform.Dialect{},
+		Handlers: router.Handlers{Directory: platform.Directory, Readiness: platform.Readiness},
+		Dropped:  lines.Dropped,
+	}
+	if err := r.Listen(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	leaving := false
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case got := <-signals:
+			switch {
+			case got == syscall.SIGHUP:
+				c.reload(r)
+			case leaving:
+				cancel()
+			default:
+				leaving = true
+				r.Leave()
+			}
+		}
+	}
+}
+
+// reload reads the settings again. A file that can't be used changes nothing.
+func (c *routeCommand) reload(r *router.Router) {
+	s, err := settings.LoadRouter(c.settings)
+	if err != nil {
+		klog.ErrorS(err, "settings not reloaded", "file", c.settings)
+		return
+	}
+	r.Reload(s)
+}
--- /dev/null
+++ b/router/attempt.go
@@ -0,0 +1,245 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/choice"
+	"samphirehead/coordination/suspect"
+	"samphirehead/protocol/call"
+	"samphirehead/state/routing"
+	"samphirehead/transport/forward"
+)
+
+// extraAttempts is how many more upstreams than may run a request it may be
+// sent to, where others did not run it.
+const extraAttempts = 2
+
+// attempt is one try at one upstream.
+type attempt struct {
+	choice.Choice
+	ticket   choice.Ticket
+	sent     time.Time
+	response *forward.Response
+	// body is the whole answer where it does not stream.
+	body []byte
+}
+
+// outcome says what became of an attempt.
+type outcome string
+
+const (
+	// answered attempts have an answer for the caller.
+	answered outcome = "answered"
+	// rejected attempts have certainly not run.
+	rejected outcome = "rejected"
+	// failed attempts may have run and have no usable answer.
+	failed outcome = "failed"
+	// faulty attempts have an answer of the upstream that says it failed.
+	faulty outcome = "faulty"
+)
+
+// run sends the request to upstreams until one answers, or none may be tried.
+func (j *job) run(ctx context.Context) {
+	for {
+		a, result, err := j.try(ctx, "")
+		if a == nil {
+			j.finish(ctx, noUpstream)
+			return
+		}
+		if result == answered {
+			j.deliver(ctx, a)
+			return
+		}
+		again := ctx.Err() == nil && j.again(result)
+		klog.InfoS("attempt failed", "request", j.ID, "upstream", a.Upstream, "outcome", result,
+			"status", a.status(), "after", time.Since(a.sent), "again", again, "err", err)
+		if again {
+			continue
+		}
+		switch {
+		case result == faulty && ctx.Err() == nil:
+			j.deliver(ctx, a)
+		case j.ran == 0:
+			j.finish(ctx, notRun)
+		default:
+			j.finish(ctx, unknown)
+		}
+		return
+	}
+}
+
+func (a *attempt) status() int {
+	if a.response == nil {
+		return 0
+	}
+	return a.response.Status
+}
+
+// again reports whether one more upstream may be tried after an outcome.
+func (j *job) again(result outcome) bool {
+	if result != rejected && j.route.Repeat == routing.AtMostOnce {
+		return false
+	}
+	if j.ran >= j.route.MaxAttempts || len(j.tried) >= j.route.MaxAttempts+extraAttempts {
+		return false
+	}
+	return j.mayRepeat()
+}
+
+// finish answers a request that has no upstream's answer.
+func (j *job) finish(ctx context.Context, why reason) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		klog.InfoS("caller left", "request", j.ID, "after", time.Since(j.arrived), "tried", j.tried)
+	case j.ran == 0 && ctx.Err() == nil:
+		j.answerLater(later, why)
+	case ctx.Err() != nil:
+		j.answer(http.StatusGatewayTimeout, timedOut)
+	default:
+		j.answer(http.StatusBadGateway, why)
+	}
+}
+
+// try sends the request to one upstream and reads its answer up to the first
+// event of a stream. The attempt is nil where no upstream is left.
+func (j *job) try(ctx context.Context, lastEvent string) (*attempt, outcome, error) {
+	chosen, ticket, ok := j.choose()
+	if !ok {
+		return nil, rejected, nil
+	}
+	a := &attempt{Choice: chosen, ticket: ticket, sent: time.Now()}
+	j.tried = append(j.tried, chosen.Upstream)
+	send := call.Send{
+		Upstream:  chosen.Upstream,
+		Address:   chosen.Address,
+		Budget:    time.Until(j.deadline),
+		Workspace: j.workspaceName(),
+		Urgency:   j.urgency(),
+		LastEvent: lastEvent,
+		Once:      j.route.Repeat == routing.AtMostOnce && !j.route.Streaming,
+	}
+	response, err := j.router.forward.Send(ctx, j.Request, send)
+	if err != nil {
+		result := failed
+		if errors.Is(err, forward.ErrNotSent) {
+			result = rejected
+		}
+		j.lost(ctx, a, result)
+		return a, result, err
+	}
+	a.response = response
+	result, err := j.read(a)
+	if result == answered {
+		j.ran++
+		return a, result, nil
+	}
+	j.lost(ctx, a, result)
+	return a, result, err
+}
+
+// read judges an answer, and reads it whole where it does not stream.
+func (j *job) read(a *attempt) (outcome, error) {
+	response := a.response
+	if response.NotRun {
+		response.Discard()
+		return rejected, nil
+	}
+	good := response.Status >= 200 && response.Status < 300
+	if j.route.Streaming && good {
+		if !response.Sealed {
+			_ = response.Body.Close()
+			return failed, errors.New("answer without seal")
+		}
+		return answered, nil
+	}
+	body, err := response.ReadWhole()
+	switch {
+	case err != nil:
+		return failed, errors.Wrap(err, "read answer")
+	case !response.Sealed:
+		return failed, errors.New("answer without seal")
+	case response.Status >= http.StatusInternalServerError:
+		a.body = body
+		return faulty, nil
+	}
+	a.body = body
+	return answered, nil
+}
+
+// lost notes the end of an attempt without a good answer.
+func (j *job) lost(ctx context.Context, a *attempt, result outcome) {
+	if result != rejected {
+		j.ran++
+	}
+	broke := result == failed && ctx.Err() == nil
+	j.router.step(j.service, choice.Ended{
+		Ticket:    a.ticket,
+		Failed:    broke || result == faulty,
+		Unreached: result == rejected && a.response == nil && ctx.Err() == nil,
+	})
+	if broke {
+		j.crashed(a)
+	}
+}
+
+// crashed notes that the upstream broke off under the request.
+func (j *job) crashed(a *attempt) {
+	r := j.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	effects := r.suspects.Step(time.Now(), suspect.Crashed{
+		Upstream: a.Upstream,
+		InFlight: []suspect.InFlight{{Request: j.ID, Fingerprint: j.digest}},
+	})
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case suspect.Spread:
+			r.crashes = append(r.crashes, effect.Records...)
+		case suspect.QuarantineBegan:
+			klog.InfoS("quarantined", "request", j.ID, "route", j.route.Name, "upstream", a.Upstream)
+		}
+	}
+}
+
+// deliver passes an answer on to the caller.
+func (j *job) deliver(ctx context.Context, a *attempt) {
+	if a.body == nil && j.route.Streaming && a.response.Status < 300 {
+		j.stream(ctx, a)
+		return
+	}
+	j.router.step(j.service, choice.Started{Ticket: a.ticket})
+	j.router.step(j.service, choice.Ended{Ticket: a.ticket})
+	j.writeHead(a)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	j.w.WriteHeader(a.response.Status)
+	_, err := j.w.Write(a.body)
+	j.completed(a, err)
+}
+
+// writeHead sets the header of the upstream's answer.
+func (j *job) writeHead(a *attempt) {
+	header := j.w.Header()
+	j.router.Dialect.Answer(a.response.Header)
+	for name, values := range a.response.Header {
+		header[name] = values
+	}
+}
+
+// completed notes that the caller has its answer.
+func (j *job) completed(a *attempt, err error) {
+	r := j.router
+	if a.response.Status < 300 {
+		r.mu.Lock()
+		r.suspects.Step(time.Now(), suspect.Completed{Fingerprint: j.digest})
+		r.mu.Unlock()
+	}
+	klog.InfoS("answered", "request", j.ID, "route", j.route.Name, "workspace", j.workspaceName(),
+		"upstream", a.Upstream, "status", a.response.Status, "tried", len(j.tried),
+		"after", time.Since(j.arrived), "err", err)
+}
--- /dev/null
+++ b/router/fixture_test.go
@@ -0,0 +1,208 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"samphirehead/platform"
+	"samphirehead/platform/platformtest"
+	"samphirehead/router"
+	"samphirehead/state/id"
+	"samphirehead/state/settings"
+)
+
+const (
+	host = "shop.example"
+	key  = "good-key"
+	// wait is the caller's budget where a test has none of its own. It is
+	// long: no test waits for it.
+	wait = time.Minute
+)
+
+// system is some routers with a store and upstreams.
+type system struct {
+	t       *testing.T
+	store   *platformtest.Store
+	routers []*router.Router
+	version int
+}
+
+// newSystem starts routers that have the routes of the tests.
+func newSystem(t *testing.T, routers int, upstreams ...*platformtest.Upstream) *system {
+	s := &system{t: t, store: platformtest.NewStore()}
+	t.Cleanup(s.store.Close)
+	for i, u := range upstreams {
+		u.Name = fmt.Sprintf("u%d", i)
+		u.Zone = "z1"
+		if u.Service == "" {
+			u.Service = "pool"
+		}
+		u.Start()
+		t.Cleanup(u.Close)
+		s.store.Put("servers", u.Name, u.Entry("ready"))
+	}
+	s.configure(key)
+	for i := range routers {
+		s.start(i)
+	}
+	return s
+}
+
+// configure writes a version of the routes in which only these keys are good.
+func (s *system) configure(keys ...string) {
+	s.version++
+	route := func(name, kind string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": "pool",
+			"timeoutMs": 600_000, "sloMs": 500, "targetGapMs": 200, "maxAttempts": attempts, "resumable": resumable,
+		}
+	}
+	s.store.Put("op", "config", map[string]any{
+		"version": s.version,
+		"routes": []any{
+			route("safe", "safe", 2, false), route("unsafe", "unsafe", 1, false),
+			route("stream", "streaming", 1, false), route("resume", "streaming", 2, true),
+		},
+		"services": []any{map[string]any{"name": "pool", "healthPath": "/health"}},
+		"limits":   map[string]any{"maxBodyBytes": 1000},
+		"tenants":  []any{map[string]any{"name": "w1", "apiKeys": keys, "priority": 3}},
+	})
+}
+
+// start runs one more router and waits until it is ready.
+func (s *system) start(i int) *router.Router {
+	r := &router.Router{
+		Settings: &settings.Router{
+			Instance: id.Instance(fmt.Sprintf("i%d", i)), FailureDomain: "z1", Region: "r1",
+			CallerAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", DirectoryAddress: "127.0.0.1:0",
+			PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
+			PeerSecret: "secret", Grace: 2 * time.Minute, EntryLifetime: 10 * time.Millisecond,
+			Retries: settings.Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		},
+		Platform: &platform.Platform{Address: s.store.Address()},
+		Dialect:  platform.Dialect{},
+		Handlers: router.Handlers{Directory: platform.Directory, Readiness: platform.Readiness},
+	}
+	if len(s.routers) > 0 {
+		r.Settings.Seeds = []string{s.routers[0].Addr(router.Peers)}
+	}
+	if err := r.Listen(); err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			s.t.Error(err)
+		}
+	})
+	s.routers = append(s.routers, r)
+	return r
+}
+
+// eventually waits for a condition; the test's own timeout bounds it.
+func (s *system) eventually(what string, condition func() bool) {
+	s.t.Helper()
+	for !condition() {
+		select {
+		case <-s.t.Context().Done():
+			s.t.Fatalf("never: %s", what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (s *system) ready(r *router.Router) bool {
+	answer, err := http.Get("http://" + r.Addr(router.Readiness) + "/readiness") //nolint:noctx // loopback
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// usable waits until a router knows some number of upstreams.
+func (s *system) usable(r *router.Router, n int) {
+	s.t.Helper()
+	s.eventually(fmt.Sprintf("%d upstreams usable", n), func() bool { return s.metrics(r).Upstreams == n && s.ready(r) })
+}
+
+type metrics struct {
+	Version   uint64 `json:"routes_version"`
+	Live      int    `json:"instances_live"`
+	Upstreams int    `json:"upstreams_usable"`
+}
+
+func (s *system) metrics(r *router.Router) (m metrics) {
+	answer, err := http.Get("http://" + r.Addr(router.Operators) + "/metrics") //nolint:noctx // loopback
+	if err != nil {
+		s.t.Error(err)
+		return m
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if err := json.NewDecoder(answer.Body).Decode(&m); err != nil {
+		s.t.Error(err)
+	}
+	return m
+}
+
+// entries asks the directory of a router.
+func (s *system) entries(r *router.Router) []string {
+	answer, err := http.Get("http://" + r.Addr(router.Directory) + "/resolve?name=" + host + "&zone=z1") //nolint:noctx // loopback
+	if err != nil {
+		s.t.Error(err)
+		return nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var got struct {
+		Addresses []string
+	}
+	if answer.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(answer.Body).Decode(&got); err != nil {
+			s.t.Error(err)
+		}
+	}
+	return got.Addresses
+}
+
+// answer is what a caller got. Err is set for an answer that is not whole.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (s *system) request(ctx context.Context, r *router.Router, path, body string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Addr(router.Callers)+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = host
+	request.Header.Set("X-Samphirehead-Attempt-Id", "id-"+path)
+	request.Header.Set("X-Samphirehead-Time-Budget-Ms", fmt.Sprint(wait.Milliseconds()))
+	request.Header.Set("X-Samphirehead-Key", key)
+	return request
+}
+
+func (s *system) do(request *http.Request) answer {
+	got, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	body, err := io.ReadAll(got.Body)
+	_ = got.Body.Close()
+	return answer{got.StatusCode, got.Header, string(body), err}
+}
+
+func (s *system) post(path, body string) answer {
+	return s.do(s.request(s.t.Context(), s.routers[0], path, body))
+}
--- /dev/null
+++ b/router/forward_test.go
@@ -0,0 +1,240 @@
+package router_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"samphirehead/platform/platformtest"
+)
+
+type behaviour = func(*platformtest.Upstream, http.ResponseWriter, *http.Request)
+
+// one starts a router before an upstream with a behaviour.
+func one(t *testing.T, b behaviour) (*system, *platformtest.Upstream) {
+	u := &platformtest.Upstream{Behave: b}
+	s := newSystem(t, 1, u)
+	s.usable(s.routers[0], 1)
+	return s, u
+}
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	s, u := one(t, nil)
+	got := s.post("/unsafe/a%2Fb?x=1&y=%20", "some body")
+	if got.status != http.StatusOK || got.body != "from u0" || got.header.Get("X-Samphirehead-Server-Seal") != "seal.u0" {
+		t.Fatalf("answer %+v", got)
+	}
+	r := u.Received()[0]
+	if r.Method != http.MethodPost || r.Path != "/unsafe/a%2Fb?x=1&y=%20" || r.Body != "some body" {
+		t.Errorf("received %+v", r)
+	}
+	for name, want := range map[string]string{
+		"X-Samphirehead-Attempt-Id": "id-/unsafe/a%2Fb?x=1&y=%20", "X-Samphirehead-Expect-Instance": "u0",
+		"X-Samphirehead-Tenant": "w1", "X-Samphirehead-Key": "", "X-Samphirehead-Request-Urgency": "3",
+	} {
+		if r.Header.Get(name) != want {
+			t.Errorf("%s is %q, want %q", name, r.Header.Get(name), want)
+		}
+	}
+	left, err := strconv.Atoi(r.Header.Get("X-Samphirehead-Time-Budget-Ms"))
+	if err != nil || left <= 0 || time.Duration(left)*time.Millisecond > wait {
+		t.Errorf("time left %d, %v", left, err)
+	}
+}
+
+func TestRefusalsOfTheRoutersOwn(t *testing.T) {
+	s, u := one(t, nil)
+	r := s.routers[0]
+	for name, c := range map[string]struct {
+		path, body string
+		change     func(*http.Request)
+		want       int
+	}{
+		"no route":    {"/nowhere/x", "", nil, http.StatusNotFound},
+		"other host":  {"/safe/x", "", func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
+		"unknown key": {"/safe/x", "", func(r *http.Request) { r.Header.Set("X-Samphirehead-Key", "bad") }, http.StatusUnauthorized},
+		"no key":      {"/safe/x", "", func(r *http.Request) { r.Header.Del("X-Samphirehead-Key") }, http.StatusUnauthorized},
+		"no id":       {"/safe/x", "", func(r *http.Request) { r.Header.Del("X-Samphirehead-Attempt-Id") }, http.StatusBadRequest},
+		"large body":  {"/safe/x", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge},
+	} {
+		request := s.request(t.Context(), r, c.path, c.body)
+		if c.change != nil {
+			c.change(request)
+		}
+		if got := s.do(request); got.status != c.want {
+			t.Errorf("%s: status %d, want %d", name, got.status, c.want)
+		}
+	}
+	if n := len(u.Received()); n != 0 {
+		t.Errorf("%d of the refused requests reached an upstream", n)
+	}
+}
+
+// What a caller is told when both upstreams behave badly, and how often the
+// request reached one. 503 promises that nothing ran.
+func TestFaultsOfUpstreams(t *testing.T) {
+	unframed := platformtest.Unframed(false)
+	for name, c := range map[string]struct {
+		path    string
+		behave  behaviour
+		want    int
+		body    string
+		reached int
+		broken  bool
+	}{
+		"unsafe, refused":         {"/unsafe/x", platformtest.Refuse, 503, "", 2, false},
+		"unsafe, cut":             {"/unsafe/x", platformtest.Cut, 502, "", 1, false},
+		"unsafe, failed":          {"/unsafe/x", platformtest.Fail, 500, "failed", 1, false},
+		"unsafe, foreign answer":  {"/unsafe/x", platformtest.Foreign, 502, "", 1, false},
+		"unsafe, no seal":         {"/unsafe/x", platformtest.Unsealed, 502, "", 1, false},
+		"unsafe, short":           {"/unsafe/x", platformtest.Short, 502, "", 1, false},
+		"unsafe, extra answer":    {"/unsafe/x", platformtest.Extra, 200, "from u", 1, false},
+		"unsafe, no length":       {"/unsafe/x", unframed, 200, "from u", 1, false},
+		"unsafe, no length, cut":  {"/unsafe/x", platformtest.Unframed(true), 502, "", 1, false},
+		"safe, refused":           {"/safe/x", platformtest.Refuse, 503, "", 2, false},
+		"safe, cut":               {"/safe/x", platformtest.Cut, 502, "", 2, false},
+		"safe, failed":            {"/safe/x", platformtest.Fail, 500, "failed", 2, false},
+		"safe, foreign answer":    {"/safe/x", platformtest.Foreign, 502, "", 2, false},
+		"safe, short":             {"/safe/x", platformtest.Short, 502, "", 2, false},
+		"stream, whole":           {"/stream/x", platformtest.Events(9, 0), 200, "", 1, false},
+		"stream, broken":          {"/stream/x", platformtest.Events(9, 5), 200, "", 1, true},
+		"stream, broken at first": {"/stream/x", platformtest.Events(9, 1), 502, "", 1, false},
+		"stream, refused":         {"/stream/x", platformtest.Refuse, 503, "", 2, false},
+		"stream, failed":          {"/stream/x", platformtest.Fail, 500, "failed", 1, false},
+		"stream, no seal":         {"/stream/x", platformtest.Unsealed, 502, "", 1, false},
+		"resumable, broken":       {"/resume/x", platformtest.Events(9, 5), 200, "", 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := &platformtest.Upstream{Behave: c.behave}, &platformtest.Upstream{Behave: c.behave}
+			s := newSystem(t, 1, a, b)
+			s.usable(s.routers[0], 2)
+			got := s.post(c.path, "body")
+			if (got.err != nil) != c.broken {
+				t.Errorf("broken answer: %v", got.err)
+			}
+			if got.status != c.want || !strings.HasPrefix(got.body, c.body) {
+				t.Errorf("answer %d %q, want %d %q", got.status, got.body, c.want, c.body)
+			}
+			if n := len(a.Received()) + len(b.Received()); n != c.reached {
+				t.Errorf("reached upstreams %d times, want %d", n, c.reached)
+			}
+			if c.want == http.StatusServiceUnavailable && got.header.Get("Retry-After") == "" {
+				t.Error("not told when to come back")
+			}
+		})
+	}
+}
+
+// A request goes on to a second upstream where that can't run it twice.
+func TestSecondUpstreamServes(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		behave behaviour
+	}{
+		"unsafe after a refusal": {"/unsafe/x", platformtest.Refuse},
+		"safe after a cut":       {"/safe/x", platformtest.Cut},
+		"safe after a failure":   {"/safe/x", platformtest.Fail},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := &platformtest.Upstream{Behave: c.behave}, &platformtest.Upstream{}
+			s := newSystem(t, 1, a, b)
+			s.usable(s.routers[0], 2)
+			if got := s.post(c.path, "body"); got.status != http.StatusOK || got.body != "from u1" {
+				t.Errorf("answer %+v", got)
+			}
+		})
+	}
+}
+
+func TestUnreachableUpstreamIsPassedOver(t *testing.T) {
+	a, b := &platformtest.Upstream{}, &platformtest.Upstream{}
+	s := newSystem(t, 1, a, b)
+	s.usable(s.routers[0], 2)
+	a.Close()
+	for range 3 {
+		if got := s.post("/unsafe/x", "body"); got.status != http.StatusOK || got.body != "from u1" {
+			t.Errorf("answer %+v", got)
+		}
+	}
+}
+
+// A resumed stream has each event once, under the head of the first upstream.
+func TestStreamGoesOnAtAnotherUpstream(t *testing.T) {
+	a := &platformtest.Upstream{Behave: platformtest.Events(9, 5)}
+	b := &platformtest.Upstream{Behave: platformtest.Events(9, 0)}
+	s := newSystem(t, 1, a, b)
+	s.usable(s.routers[0], 2)
+	got := s.post("/resume/x", "body")
+	if got.err != nil || got.header.Get("X-Samphirehead-Server-Seal") != "seal.u0" {
+		t.Fatalf("answer %+v", got)
+	}
+	want := ""
+	for i := range 9 {
+		n := strconv.Itoa(i + 1)
+		want += "id: " + n + "\ndata: token " + n + "\n\n"
+	}
+	if got.body != want {
+		t.Errorf("events %q, want %q", got.body, want)
+	}
+	if last := b.Received()[0].Header.Get("Last-Event-Id"); last != "4" {
+		t.Errorf("resumed after %q, want 4", last)
+	}
+}
+
+func TestUpstreamIsToldOfCallersThatLeave(t *testing.T) {
+	reached, left := make(chan struct{}), make(chan struct{})
+	s, _ := one(t, func(_ *platformtest.Upstream, _ http.ResponseWriter, r *http.Request) {
+		close(reached)
+		<-r.Context().Done()
+		close(left)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	request := s.request(ctx, s.routers[0], "/unsafe/x", "body")
+	ended := make(chan answer, 1)
+	go func() { ended <- s.do(request) }()
+	<-reached
+	cancel()
+	<-left
+	<-ended
+}
+
+// A request whose time is over is answered though its upstream is silent.
+func TestTimeIsKept(t *testing.T) {
+	s, _ := one(t, platformtest.Hang)
+	request := s.request(t.Context(), s.routers[0], "/unsafe/x", "body")
+	request.Header.Set("X-Samphirehead-Time-Budget-Ms", "50")
+	if got := s.do(request); got.status != http.StatusGatewayTimeout {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// A request that crashes whatever runs it does not come to further upstreams.
+func TestCrashingRequestIsKeptAway(t *testing.T) {
+	var upstreams []*platformtest.Upstream
+	for range 6 {
+		upstreams = append(upstreams, &platformtest.Upstream{Behave: func(u *platformtest.Upstream, w http.ResponseWriter, r *http.Request) {
+			if strings.Contains(r.URL.Path, "crash") {
+				platformtest.Cut(u, w, r)
+			}
+			u.Seal(w, r)
+		}})
+	}
+	s := newSystem(t, 1, upstreams...)
+	s.usable(s.routers[0], 6)
+	for range 20 {
+		s.post("/safe/crash", "body")
+	}
+	reached := 0
+	for _, u := range upstreams {
+		reached += len(u.Received())
+	}
+	if reached > 3 {
+		t.Errorf("the request reached %d upstreams, want at most 3", reached)
+	}
+	if got := s.post("/safe/other", "body"); got.status != http.StatusOK {
+		t.Errorf("another request: %+v", got)
+	}
+}
--- /dev/null
+++ b/router/peers.go
@@ -0,0 +1,278 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/choice"
+	"samphirehead/coordination/pulse"
+	"samphirehead/coordination/suspect"
+	"samphirehead/protocol/exchange"
+	"samphirehead/state/id"
+	"samphirehead/state/mirror"
+)
+
+const (
+	// behindLimit is the number of exchanges after which a copy that is
+	// behind a peer's is taken from the peer, though the platform answers.
+	behindLimit = 2
+	// maxCrashes bounds the crash reports of one message.
+	maxCrashes = 32
+	// crashesFor is how long a crash is told to others.
+	crashesFor = 30 * time.Second
+	// announceInterval is how often the list of instances is read again.
+	announceInterval = 10 * time.Second
+	announceRetry    = time.Second
+)
+
+// exchange swaps states with some other instances until ctx ends.
+func (r *Router) exchange(ctx context.Context) error {
+	ticker := time.NewTicker(pulse.Interval)
+	defer ticker.Stop()
+	ended := make(chan struct{})
+	running := 0
+	start := func(addresses []string) {
+		for _, address := range addresses {
+			running++
+			go func() {
+				r.swap(ctx, address)
+				ended <- struct{}{}
+			}()
+		}
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			for range running {
+				<-ended
+			}
+			return nil
+		case <-ended:
+			running--
+		case <-r.leaving.announced:
+			start(r.pulseStep(pulse.Updated{Ready: false, Leaving: true}))
+		case <-ticker.C:
+			start(r.pulseStep(pulse.Ticked{}))
+		}
+	}
+}
+
+func (r *Router) pulseStep(ev pulse.Event) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pulse.Step(time.Now(), ev)
+}
+
+// swap exchanges states with one instance, and takes its copy of a table where
+// that is ahead.
+func (r *Router) swap(ctx context.Context, address string) {
+	answer, err := r.peers.Swap(ctx, address, r.state())
+	if err != nil {
+		if ctx.Err() == nil {
+			klog.V(1).InfoS("peer not reached", "peer", address, "err", err)
+			r.pulseStep(pulse.Unreached{Address: address})
+		}
+		return
+	}
+	r.hear(answer)
+	for _, c := range []*copied{&r.routes, &r.upstreams} {
+		if r.wants(c, answer) {
+			r.fetch(ctx, address, c)
+		}
+	}
+}
+
+// wants reports whether the copy of a table is to be taken from a peer.
+func (r *Router) wants(c *copied, answer *exchange.State) bool {
+	for _, t := range answer.Tables {
+		if t.Name != c.name {
+			continue
+		}
+		if mirror.Revision(t.Content) <= c.Content() {
+			c.behind.Store(0)
+			return false
+		}
+		return !c.reached.Load() || c.behind.Add(1) >= behindLimit
+	}
+	return false
+}
+
+func (r *Router) fetch(ctx context.Context, address string, c *copied) {
+	answer, err := r.peers.Fetch(ctx, address, &exchange.FetchRequest{Table: c.name})
+	if err != nil {
+		klog.V(1).InfoS("table not fetched", "peer", address, "table", c.name, "err", err)
+		return
+	}
+	rows := make([]mirror.Row, len(answer.Rows))
+	for i, row := range answer.Rows {
+		rows[i] = mirror.Row{Key: row.Key, Revision: mirror.Revision(row.Revision), Value: row.Value}
+	}
+	if c.Replace(rows, mirror.Revision(answer.Revision), mirror.Revision(answer.Content)) {
+		klog.InfoS("table taken from peer", "peer", address, "table", c.name, "revision", answer.Revision)
+	}
+}
+
+// Swap hears another instance and answers with this one's state.
+func (r *Router) Swap(_ context.Context, s *exchange.State) (*exchange.State, error) {
+	r.hear(s)
+	return r.state(), nil
+}
+
+// Fetch returns the copy of a table.
+func (r *Router) Fetch(_ context.Context, request *exchange.FetchRequest) (*exchange.FetchResponse, error) {
+	for _, c := range []*copied{&r.routes, &r.upstreams} {
+		if c.name != request.Table {
+			continue
+		}
+		rows, revision := c.Rows()
+		answer := &exchange.FetchResponse{Revision: uint64(revision), Content: uint64(c.Content())}
+		for _, row := range rows {
+			answer.Rows = append(answer.Rows, &exchange.Row{Key: row.Key, Revision: uint64(row.Revision), Value: row.Value})
+		}
+		return answer, nil
+	}
+	return &exchange.FetchResponse{}, nil
+}
+
+// state makes the message of what this instance knows.
+func (r *Router) state() *exchange.State {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self, others := r.pulse.Message(now)
+	s := &exchange.State{
+		Self:   memberFrom(self),
+		Demand: make(map[string]*exchange.Demand),
+		Tables: []*exchange.Table{
+			{Name: r.routes.name, Content: uint64(r.routes.Content()), Reached: r.routes.reached.Load()},
+			{Name: r.upstreams.name, Content: uint64(r.upstreams.Content()), Reached: r.upstreams.reached.Load()},
+		},
+	}
+	for _, o := range others {
+		s.Members = append(s.Members, memberFrom(o))
+	}
+	for service, c := range r.pools.choosers {
+		demand := c.Demand(now)
+		s.Demand[string(service)] = &exchange.Demand{Prompt: float32(demand.Prompt), Bulk: float32(demand.Bulk)}
+		for upstream, l := range c.Loads() {
+			s.Loads = append(s.Loads, &exchange.Load{
+				Upstream: string(upstream), Running: uint32(max(l.Running, 0)),
+				PrefillTokens: uint32(max(l.Prefill, 0)), Sensitive: uint32(max(l.Sensitive, 0)),
+			})
+		}
+		for upstream, left := range c.Ejected(now) {
+			s.Failing = append(s.Failing, &exchange.Failing{Upstream: string(upstream), ForUs: left.Microseconds()})
+		}
+	}
+	s.Crashes = r.crashReports(now)
+	return s
+}
+
+// crashReports returns the newest crashes; r.mu is held.
+func (r *Router) crashReports(now time.Time) []*exchange.Crash {
+	for len(r.crashes) > 0 && now.Sub(r.crashes[0].At) > crashesFor {
+		r.crashes = r.crashes[1:]
+	}
+	var reports []*exchange.Crash
+	for _, c := range r.crashes[max(0, len(r.crashes)-maxCrashes):] {
+		reports = append(reports, &exchange.Crash{
+			Fingerprint: uint64(c.Fingerprint), Upstream: string(c.Upstream),
+			Request: string(c.Request), AgeUs: now.Sub(c.At).Microseconds(),
+		})
+	}
+	return reports
+}
+
+// hear takes in what another instance knows.
+func (r *Router) hear(s *exchange.State) {
+	if s.GetSelf() == nil {
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	heard := pulse.Heard{From: memberRecord(s.Self)}
+	for _, m := range s.Members {
+		heard.Records = append(heard.Records, memberRecord(m))
+	}
+	r.pulse.Step(now, heard)
+	r.hearLoads(now, s)
+	for _, t := range s.Tables {
+		if t.Name == r.upstreams.name && t.Reached {
+			r.upstreams.peerReached = now
+		}
+	}
+	records := make([]suspect.Record, len(s.Crashes))
+	for i, c := range s.Crashes {
+		records[i] = suspect.Record{
+			Fingerprint: id.Fingerprint(c.Fingerprint), Upstream: id.Upstream(c.Upstream),
+			Request: id.Request(c.Request), At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
+		}
+	}
+	r.suspects.Step(now, suspect.Heard{Records: records})
+}
+
+// hearLoads is called with r.mu held.
+func (r *Router) hearLoads(now time.Time, s *exchange.State) {
+	loads := make(map[id.Upstream]choice.Load, len(s.Loads))
+	for _, l := range s.Loads {
+		loads[id.Upstream(l.Upstream)] = choice.Load{
+			Running: int(l.Running), Prefill: id.Tokens(l.PrefillTokens), Sensitive: int(l.Sensitive),
+		}
+	}
+	for service, c := range r.pools.choosers {
+		demand := s.Demand[string(service)]
+		c.Step(now, choice.Heard{
+			Instance: id.Instance(s.Self.Instance),
+			Loads:    loads,
+			Demand:   choice.Demand{Prompt: float64(demand.GetPrompt()), Bulk: float64(demand.GetBulk())},
+		})
+		for _, f := range s.Failing {
+			c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
+		}
+	}
+}
+
+func memberFrom(r pulse.Record) *exchange.Member {
+	return &exchange.Member{
+		Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
+		FailureDomain: string(r.FailureDomain), CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress,
+		Ready: r.Ready, Leaving: r.Leaving,
+	}
+}
+
+func memberRecord(m *exchange.Member) pulse.Record {
+	return pulse.Record{
+		Instance: id.Instance(m.Instance), Incarnation: id.Incarnation(m.Incarnation), Sequence: m.Sequence,
+		FailureDomain: id.FailureDomain(m.FailureDomain), CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress,
+		Ready: m.Ready, Leaving: m.Leaving,
+	}
+}
+
+// announce makes this instance known to those that start later, and learns of
+// others, until ctx ends.
+func (r *Router) announce(ctx context.Context) error {
+	announced := false
+	for ctx.Err() == nil {
+		wait := announceInterval
+		if !announced {
+			err := r.Platform.Announce(ctx, r.Settings.Instance, r.Addr(Peers))
+			announced = err == nil
+		}
+		addresses, err := r.Platform.Announced(ctx)
+		if err == nil {
+			r.pulseStep(pulse.Named{Addresses: addresses})
+		}
+		if err != nil || !announced {
+			klog.V(1).InfoS("instance not announced", "err", err)
+			wait = announceRetry
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,293 @@
+// Package router composes one instance on the users' platform: it serves
+// callers, chooses upstreams, and shares with the other instances what all of
+// them need to know.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/pulse"
+	"samphirehead/coordination/registry"
+	"samphirehead/coordination/share"
+	"samphirehead/coordination/suspect"
+	"samphirehead/protocol/call"
+	"samphirehead/state/fault"
+	"samphirehead/state/id"
+	"samphirehead/state/metrics"
+	"samphirehead/state/mirror"
+	"samphirehead/state/routing"
+	"samphirehead/state/settings"
+	"samphirehead/transport/exchange"
+	"samphirehead/transport/forward"
+)
+
+// Platform is where the routes and the upstreams come from.
+type Platform interface {
+	// Watch keeps a copy of a table until ctx ends, and returns its error;
+	// reached hears after each call whether the platform answered.
+	Watch(ctx context.Context, table string, into *mirror.Mirror, reached func(error)) error
+	// Tables names the tables of the routes and of the upstreams.
+	Tables() (routes, upstreams string)
+	// Rules decodes the routes; nil without an error means that there are
+	// none yet.
+	Rules(rows map[string]mirror.Row) (*routing.Table, error)
+	// Entries decodes the upstreams.
+	Entries(rows map[string]mirror.Row) []registry.Entry
+	// Announce tells where this instance serves its peers.
+	Announce(ctx context.Context, instance id.Instance, peerAddress string) error
+	// Announced returns the peer addresses that instances announced.
+	Announced(ctx context.Context) ([]string, error)
+}
+
+// Handlers make the platform's view of this instance.
+type Handlers struct {
+	// Directory serves callers that ask for entries.
+	Directory func(entries func(domain string) []string, lifetime time.Duration) http.Handler
+	// Readiness serves the question whether this instance is ready.
+	Readiness func(ready func() bool) http.Handler
+}
+
+// Router is one instance. Its exported fields are set before Listen.
+type Router struct {
+	Settings *settings.Router
+	Platform Platform
+	Dialect  call.Dialect
+	Handlers Handlers
+	// Dropped counts log lines that were not written; nil counts none.
+	Dropped func() int64
+
+	listeners map[Side]listening
+	forward   *forward.Client
+	peers     *exchange.Client
+	metrics   metrics.Registry
+
+	// table is the routing table in force; nil before the first.
+	table     atomic.Pointer[routing.Table]
+	routes    copied
+	upstreams copied
+
+	mu       sync.Mutex
+	pulse    *pulse.Machine
+	registry registry.Registry
+	pools    pools
+	share    share.Share
+	suspects suspect.Tracker
+	// crashes holds those to be told to the others, the newest last.
+	crashes []suspect.Record
+	tickets uint64
+
+	inFlight atomic.Int64
+	leaving  leaving
+}
+
+// copied is the copy of one table of the platform.
+type copied struct {
+	name string
+	mirror.Mirror
+	// reached is set while the platform answers.
+	reached atomic.Bool
+	// behind counts the exchanges in a row in which a peer knew more.
+	behind atomic.Int32
+	// peerReached is when a peer last said that the platform answers it; the
+	// router's lock guards it.
+	peerReached time.Time
+}
+
+// Side names who is served at one address.
+type Side string
+
+// The sides of an instance.
+const (
+	Callers   Side = "callers"
+	Readiness Side = "readiness"
+	Directory Side = "directory"
+	Peers     Side = "peers"
+	Operators Side = "operators"
+)
+
+type listening struct {
+	net.Listener
+	server *http.Server
+}
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	// registryInterval is how often lapsed upstreams are looked for.
+	registryInterval = 200 * time.Millisecond
+	// closeTime bounds the end of the listeners.
+	closeTime = 300 * time.Millisecond
+)
+
+// Listen opens the listeners and builds the parts.
+func (r *Router) Listen() error {
+	r.forward = &forward.Client{Dialect: r.Dialect}
+	r.peers = &exchange.Client{Secret: r.Settings.PeerSecret.Reveal()}
+	r.routes.name, r.upstreams.name = r.Platform.Tables()
+	r.applyRetries(r.Settings)
+	r.leaving.init(r.Settings.Grace)
+	if err := r.listen(); err != nil {
+		return err
+	}
+	r.pulse = &pulse.Machine{
+		Self: pulse.Record{
+			Instance:      r.Settings.Instance,
+			Incarnation:   id.Incarnation(time.Now().UnixNano()),
+			FailureDomain: r.Settings.FailureDomain,
+			CallerAddress: r.Addr(Callers),
+			PeerAddress:   r.Addr(Peers),
+		},
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	r.pulse.Step(time.Now(), pulse.Named{Addresses: r.Settings.Seeds})
+	return nil
+}
+
+func (r *Router) listen() error {
+	r.listeners = make(map[Side]listening)
+	for side, l := range map[Side]struct {
+		address string
+		handler http.Handler
+	}{
+		Callers:   {r.Settings.CallerAddress, r},
+		Readiness: {r.Settings.ReadinessAddress, r.Handlers.Readiness(r.ready)},
+		Directory: {r.Settings.DirectoryAddress, r.Handlers.Directory(r.entries, r.Settings.EntryLifetime)},
+		Peers:     {r.Settings.PeerAddress, exchange.Handler(r.Settings.PeerSecret.Reveal(), r)},
+		Operators: {r.Settings.OperatorAddress, r.metricsHandler()},
+	} {
+		if l.address == "" {
+			continue
+		}
+		config := net.ListenConfig{}
+		listener, err := config.Listen(context.Background(), "tcp", l.address)
+		if err != nil {
+			return fault.At("listen", l.address, err)
+		}
+		r.listeners[side] = listening{listener, &http.Server{
+			Handler:           l.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+		}}
+	}
+	return nil
+}
+
+// Addr returns where a side is served once Listen has returned; empty where it
+// is not.
+func (r *Router) Addr(side Side) string {
+	l, ok := r.listeners[side]
+	if !ok {
+		return ""
+	}
+	return l.Addr().String()
+}
+
+func (r *Router) applyRetries(s *settings.Router) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share.Ratio, r.share.Slack = s.Retries.Ratio, s.Retries.Slack
+	r.share.Window = s.Retries.Window
+}
+
+// Reload takes over the settings that may change while the instance runs.
+func (r *Router) Reload(s *settings.Router) {
+	r.applyRetries(s)
+	r.mu.Lock()
+	r.pulse.Step(time.Now(), pulse.Named{Addresses: s.Seeds})
+	r.mu.Unlock()
+	klog.InfoS("settings reloaded", "instance", s.Instance)
+}
+
+// task is a part that runs until its context ends.
+type task struct {
+	name string
+	run  func(context.Context) error
+}
+
+// Run serves until ctx ends or the instance has left. It returns the first
+// error of any part.
+func (r *Router) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tasks := r.tasks()
+	ended := make(chan error, len(tasks))
+	for _, t := range tasks {
+		go func() { ended <- fault.At("run "+t.name, "", t.run(ctx)) }()
+	}
+	klog.InfoS("started", "instance", r.Settings.Instance, "failure_domain", r.Settings.FailureDomain,
+		"callers", r.Addr(Callers), "peers", r.Addr(Peers))
+	var first error
+	for range tasks {
+		first = errors.CombineErrors(first, <-ended)
+		// The end of any part, also of the leaving, ends the others.
+		cancel()
+	}
+	klog.InfoS("stopped", "instance", r.Settings.Instance, "in_flight", r.inFlight.Load())
+	return first
+}
+
+func (r *Router) tasks() []task {
+	tasks := []task{
+		{"routes", func(ctx context.Context) error { return r.watch(ctx, &r.routes) }},
+		{"upstreams", func(ctx context.Context) error { return r.watch(ctx, &r.upstreams) }},
+		{"tables", r.applyTables},
+		{"exchange", r.exchange},
+		{"announcement", r.announce},
+		{"leaving", r.leave},
+	}
+	for side, l := range r.listeners {
+		tasks = append(tasks, task{"listener for " + string(side), func(ctx context.Context) error { return serve(ctx, l) }})
+	}
+	return tasks
+}
+
+func serve(ctx context.Context, l listening) error {
+	ended := make(chan error, 1)
+	go func() { ended <- l.server.Serve(l.Listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
+	defer cancel()
+	if err := l.server.Shutdown(bounded); err != nil {
+		_ = l.server.Close()
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// ready reports whether callers may be sent here.
+func (r *Router) ready() bool {
+	return r.table.Load() != nil && !r.leaving.begun()
+}
+
+// entries returns the caller addresses of the instances that are ready, those
+// of the domain first.
+func (r *Router) entries(domain string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var near, far []string
+	for _, e := range r.pulse.Entries(time.Now()) {
+		if string(e.FailureDomain) == domain {
+			near = append(near, e.CallerAddress)
+		} else {
+			far = append(far, e.CallerAddress)
+		}
+	}
+	return append(near, far...)
+}
--- /dev/null
+++ b/router/serve.go
@@ -0,0 +1,255 @@
+package router
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/choice"
+	"samphirehead/coordination/suspect"
+	"samphirehead/protocol/call"
+	"samphirehead/state/id"
+	"samphirehead/state/routing"
+)
+
+const (
+	defaultMaxBody = 8 << 20
+	// defaultTimeout bounds a request that neither its caller nor its route
+	// bounds.
+	defaultTimeout = time.Minute
+	// soon, later and muchLater are when callers of refused requests may come
+	// back: elsewhere, when an upstream is back, and never with success.
+	soon      = 20 * time.Millisecond
+	later     = 400 * time.Millisecond
+	muchLater = 5 * time.Second
+	// perToken is how long an output token takes at most as a rule.
+	perToken = 9 * time.Millisecond
+)
+
+// reason says why a request ended without an upstream's answer.
+type reason string
+
+// The reasons of refusals and failures.
+const (
+	noRoutes      reason = "no_routes"
+	badRequest    reason = "bad_request"
+	noRoute       reason = "no_route"
+	unknownKey    reason = "unknown_key"
+	bodyTooLarge  reason = "body_too_large"
+	bodyBroken    reason = "body_broken"
+	instanceLeave reason = "instance_leaving"
+	quarantined   reason = "quarantined"
+	noUpstream    reason = "no_upstream"
+	notRun        reason = "not_run"
+	timedOut      reason = "timed_out"
+	unknown       reason = "outcome_unknown"
+	brokenStream  reason = "stream_broken"
+	callerLeft    reason = "caller_left"
+)
+
+// job is one request in progress.
+type job struct {
+	*call.Request
+	router    *Router
+	w         http.ResponseWriter
+	route     *routing.Route
+	workspace *routing.Workspace
+	service   id.Service
+	arrived   time.Time
+	deadline  time.Time
+	digest    id.Fingerprint
+	// tried holds the upstreams that the request was sent to.
+	tried []id.Upstream
+	// ran counts the upstreams that may have run it.
+	ran int
+	// version is that of the routing table.
+	version id.ManifestVersion
+}
+
+// ServeHTTP serves one request of a caller.
+func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	if r.leaving.begun() {
+		w.Header().Set("Connection", "close")
+	}
+	j, why := r.admit(w, request)
+	if why != "" {
+		j.refuse(why)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), j.deadline)
+	defer cancel()
+	j.run(ctx)
+}
+
+// admit decides what a request may do, and reads its body.
+func (r *Router) admit(w http.ResponseWriter, request *http.Request) (*job, reason) {
+	j := &job{router: r, w: w, arrived: time.Now(), Request: &call.Request{}}
+	table := r.table.Load()
+	if table == nil {
+		return j, noRoutes
+	}
+	read, err := r.Dialect.Request(request)
+	if err != nil {
+		klog.V(1).InfoS("request not understood", "caller", request.RemoteAddr, "err", err)
+		return j, badRequest
+	}
+	j.Request, j.version = read, table.Version
+	if j.route = table.Match(read.Host, read.URL.EscapedPath()); j.route == nil {
+		return j, noRoute
+	}
+	var known bool
+	if j.workspace, known = table.Workspace(read.Key); !known && !j.route.Public {
+		return j, unknownKey
+	}
+	j.service = j.route.Target(rand.Float64())
+	j.deadline = j.arrived.Add(j.patience())
+	if !r.fits(j) {
+		return j, instanceLeave
+	}
+	if why := j.readBody(request, table.Limits); why != "" {
+		return j, why
+	}
+	j.digest = r.Dialect.Digest(read)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share.Arrived(j.arrived, j.service)
+	if r.suspects.Verdict(j.arrived, j.digest) == suspect.Quarantined {
+		return j, quarantined
+	}
+	return j, ""
+}
+
+// patience is how long the caller is kept waiting at most.
+func (j *job) patience() time.Duration {
+	switch {
+	case j.route.Timeout <= 0 && j.Budget <= 0:
+		return defaultTimeout
+	case j.route.Timeout <= 0:
+		return j.Budget
+	case j.Budget <= 0:
+		return j.route.Timeout
+	}
+	return min(j.route.Timeout, j.Budget)
+}
+
+// fits reports whether the request can end before a leaving instance does.
+func (r *Router) fits(j *job) bool {
+	if !r.leaving.begun() {
+		return true
+	}
+	needed := j.deadline.Sub(j.arrived)
+	if j.route.Streaming && j.OutputTokens > 0 {
+		needed = min(needed, j.route.Objective+time.Duration(j.OutputTokens)*perToken)
+	}
+	return needed <= r.leaving.left(j.arrived)
+}
+
+func (j *job) readBody(request *http.Request, limits routing.Limits) reason {
+	limit := int64(defaultMaxBody)
+	if limits.MaxBodyBytes > 0 {
+		limit = limits.MaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(j.w, request.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return bodyTooLarge
+	case err != nil:
+		return bodyBroken
+	}
+	j.Body = body
+	return ""
+}
+
+// refuse answers a request that does not run.
+func (j *job) refuse(why reason) {
+	switch why {
+	case badRequest, bodyBroken:
+		j.answer(http.StatusBadRequest, why)
+	case noRoute:
+		j.answer(http.StatusNotFound, why)
+	case unknownKey:
+		j.answer(http.StatusUnauthorized, why)
+	case bodyTooLarge:
+		j.answer(http.StatusRequestEntityTooLarge, why)
+	case instanceLeave:
+		j.answerLater(soon, why)
+	case quarantined:
+		j.answerLater(muchLater, why)
+	default:
+		j.answerLater(later, why)
+	}
+}
+
+// answerLater says that the request was not run and will not be, and when to
+// come back.
+func (j *job) answerLater(after time.Duration, why reason) {
+	after += rand.N(after/2 + 1)
+	j.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	j.answer(http.StatusServiceUnavailable, why)
+}
+
+// answer ends a request with a status of the router's own.
+func (j *job) answer(status int, why reason) {
+	j.router.metrics.Add("answers_"+string(why), 1)
+	klog.InfoS("refused", "request", j.ID, "status", status, "reason", why, "route", j.routeName(),
+		"workspace", j.workspaceName(), "tried", j.tried, "ran", j.ran, "after", time.Since(j.arrived))
+	j.w.WriteHeader(status)
+}
+
+func (j *job) routeName() string {
+	if j.route == nil {
+		return ""
+	}
+	return j.route.Name
+}
+
+func (j *job) workspaceName() id.Workspace {
+	if j.workspace == nil {
+		return ""
+	}
+	return j.workspace.Name
+}
+
+// urgency is the rank that an engine orders requests by.
+func (j *job) urgency() int {
+	return min(max(j.route.PriorityFor(j.workspace), 0), 9)
+}
+
+// choose takes an upstream for the next attempt.
+func (j *job) choose() (choice.Choice, choice.Ticket, bool) {
+	r := j.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	chooser, ok := r.pools.choosers[j.service]
+	if !ok {
+		return choice.Choice{}, 0, false
+	}
+	r.tickets++
+	ticket := choice.Ticket(r.tickets)
+	chosen, ok := chooser.Choose(time.Now(), choice.Request{
+		Ticket:    ticket,
+		Parts:     j.Parts,
+		Objective: j.route.Objective,
+		Sensitive: j.route.Streaming && j.route.PauseObjective > 0,
+		Excluded:  j.tried,
+	})
+	return chosen, ticket, ok
+}
+
+// mayRepeat spends one repeat of the service's budget.
+func (j *job) mayRepeat() bool {
+	r := j.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	return r.share.Take(now, j.service, len(r.pulse.Live(now)))
+}
--- /dev/null
+++ b/router/stream.go
@@ -0,0 +1,140 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/choice"
+	"samphirehead/transport/forward"
+)
+
+// stream passes events on as they arrive. A stream that breaks goes on at
+// another upstream where the route allows it; else the caller's connection is
+// closed, so that the answer does not look complete.
+func (j *job) stream(ctx context.Context, a *attempt) {
+	p := &progress{job: j, control: http.NewResponseController(j.w)}
+	for {
+		err := p.pass(a)
+		if err == nil {
+			j.router.step(j.service, choice.Ended{Ticket: a.ticket})
+			j.observe(a, p)
+			j.completed(a, nil)
+			return
+		}
+		broke := ctx.Err() == nil && !p.callerLost
+		j.router.step(j.service, choice.Ended{Ticket: a.ticket, Failed: broke})
+		if broke {
+			j.crashed(a)
+		}
+		klog.InfoS("stream broken", "request", j.ID, "upstream", a.Upstream, "events", p.events,
+			"last", p.last, "caller_lost", p.callerLost, "after", time.Since(a.sent), "err", err)
+		if a = p.resume(ctx, broke); a == nil {
+			break
+		}
+	}
+	if !p.begun {
+		j.finish(ctx, brokenStream)
+		return
+	}
+	j.router.metrics.Add("answers_"+string(brokenStream), 1)
+	panic(http.ErrAbortHandler)
+}
+
+// progress is what the caller has of a stream.
+type progress struct {
+	job     *job
+	control *http.ResponseController
+	// begun is set once the head of the answer is written.
+	begun bool
+	// last is the id of the last event that was written.
+	last   string
+	events int
+	first  time.Time
+	// longest is the longest pause between two events.
+	longest, previous time.Duration
+	// callerLost is set when the caller can't be written to.
+	callerLost bool
+}
+
+// pass writes the events of one upstream; nil means that the stream is whole.
+func (p *progress) pass(a *attempt) error {
+	defer func() { _ = a.response.Body.Close() }()
+	events := forward.Events{Body: a.response.Body}
+	for {
+		data, last, err := events.Next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return p.end(a)
+		}
+		if err != nil {
+			return errors.Wrap(err, "read event")
+		}
+		if err := p.write(a, data); err != nil {
+			p.callerLost = true
+			return errors.Wrap(err, "write event")
+		}
+		if last != "" {
+			p.last = last
+		}
+	}
+}
+
+func (p *progress) write(a *attempt, data []byte) error {
+	p.begin(a)
+	now := time.Since(p.job.arrived)
+	if p.events > 0 {
+		p.longest = max(p.longest, now-p.previous)
+	}
+	p.previous = now
+	p.events++
+	if _, err := p.job.w.Write(data); err != nil {
+		return err
+	}
+	return p.control.Flush()
+}
+
+// begin writes the head of the first upstream's answer.
+func (p *progress) begin(a *attempt) {
+	p.job.router.step(p.job.service, choice.Started{Ticket: a.ticket})
+	if p.begun {
+		return
+	}
+	p.begun = true
+	p.first = time.Now()
+	p.job.writeHead(a)
+	p.job.w.WriteHeader(a.response.Status)
+}
+
+// end writes the head of a stream that has no events.
+func (p *progress) end(a *attempt) error {
+	p.begin(a)
+	return nil
+}
+
+// resume goes on at another upstream; nil where that can't be done.
+func (p *progress) resume(ctx context.Context, broke bool) *attempt {
+	j := p.job
+	for broke && ctx.Err() == nil && (j.route.Resumable || !p.begun) && j.again(failed) {
+		a, result, err := j.try(ctx, p.last)
+		if a == nil {
+			return nil
+		}
+		if result == answered {
+			klog.InfoS("stream resumed", "request", j.ID, "upstream", a.Upstream, "last", p.last)
+			return a
+		}
+		klog.InfoS("attempt failed", "request", j.ID, "upstream", a.Upstream, "outcome", result, "err", err)
+	}
+	return nil
+}
+
+// observe logs how the upstream did against what was expected.
+func (j *job) observe(a *attempt, p *progress) {
+	klog.InfoS("streamed", "request", j.ID, "route", j.route.Name, "upstream", a.Upstream,
+		"rank", a.Rank, "prefill", a.Prefill, "ahead", a.Ahead,
+		"first", p.first.Sub(j.arrived), "pause", p.longest, "events", p.events, "whole", time.Since(j.arrived))
+}
--- /dev/null
+++ b/router/tables.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/pulse"
+	"samphirehead/coordination/registry"
+	"samphirehead/state/routing"
+)
+
+// peerReachedFor is how long the word of a peer that it reads the platform
+// counts.
+const peerReachedFor = time.Second
+
+// watch keeps the copy of one table and notes whether the platform answers.
+func (r *Router) watch(ctx context.Context, c *copied) error {
+	err := r.Platform.Watch(ctx, c.name, &c.Mirror, func(err error) {
+		reached := err == nil
+		if c.reached.Swap(reached) != reached {
+			klog.InfoS("platform reached", "table", c.name, "reached", reached, "revision", c.Revision(), "err", err)
+		}
+		if c != &r.upstreams {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if reached {
+			r.registry.Step(time.Now(), registry.Regained{})
+			return
+		}
+		now := time.Now()
+		r.registry.Step(now, registry.Lost{Alone: now.Sub(c.peerReached) < peerReachedFor})
+	})
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	return err
+}
+
+// applyTables puts changes of the copies into force until ctx ends.
+func (r *Router) applyTables(ctx context.Context) error {
+	ticker := time.NewTicker(registryInterval)
+	defer ticker.Stop()
+	for {
+		routes, upstreams := r.routes.Changed(), r.upstreams.Changed()
+		r.applyRoutes()
+		r.applyUpstreams()
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-routes:
+				waiting = false
+			case <-upstreams:
+				waiting = false
+			case now := <-ticker.C:
+				r.expireUpstreams(now)
+			}
+		}
+	}
+}
+
+func (r *Router) applyRoutes() {
+	rows, revision := r.routes.Rows()
+	table, err := r.Platform.Rules(rows)
+	if err != nil {
+		klog.ErrorS(err, "routes not usable", "revision", revision)
+		return
+	}
+	current := r.table.Load()
+	if table == nil || (current != nil && table.Version <= current.Version) {
+		return
+	}
+	r.table.Store(table)
+	klog.InfoS("routes in force", "version", table.Version, "hosts", table.Hosts(), "revision", revision)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.configurePools(table)
+	r.pulse.Step(time.Now(), pulse.Updated{Ready: r.ready(), Leaving: r.leaving.begun()})
+}
+
+func (r *Router) applyUpstreams() {
+	rows, revision := r.upstreams.Rows()
+	if revision == 0 {
+		return
+	}
+	entries := r.Platform.Entries(rows)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registry.Step(time.Now(), registry.Listed{Entries: entries})
+	r.configurePools(r.table.Load())
+}
+
+func (r *Router) expireUpstreams(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.registry.Step(now, registry.Ticked{}) {
+		r.configurePools(r.table.Load())
+	}
+}
+
+// configurePools is called with r.mu held.
+func (r *Router) configurePools(table *routing.Table) {
+	if table != nil {
+		r.pools.configure(time.Now(), table, r.registry.Usable(), r.Settings.FailureDomain)
+	}
+}
