choice: keep only bulk from streams that its reading breaks

Now three kinds: bulk by its objective; sensitive streams whose objective for pauses is below what streams beside bulk are seen to have; all others run anywhere. The lane is sized by the sensitive streams alone.

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -28,8 +28,13 @@
 	Parts []Part
 	// Objective is the time to the first event or the whole answer.
 	Objective time.Duration
-	// Sensitive requests stream with an objective for pauses.
-	Sensitive bool
+	// Pause is the objective for the pauses of a stream; 0 where there is none.
+	Pause time.Duration
+	// Urgency orders requests at an engine; 0 is the first, Urgencies-1 the
+	// last.
+	Urgency int
+	// OutputTokens bounds the answer; 0 where the caller does not say.
+	OutputTokens id.Tokens
 	// Excluded upstreams are not chosen.
 	Excluded []id.Upstream
 }
@@ -47,13 +52,22 @@
 	// Rank is the place of the upstream in the order of affinity; 0 is the
 	// first.
 	Rank int
+
+	kind kind
 }
 
+// Urgencies is the number of urgencies that engines tell apart.
+const Urgencies = 10
+
 // Load is what one entry has in progress at an upstream.
 type Load struct {
-	Running   int
-	Prefill   id.Tokens
+	Running int
+	// Prefill is what is still to be read, by urgency.
+	Prefill [Urgencies]id.Tokens
+	// Sensitive counts the streams that reading beside them delays too much.
 	Sensitive int
+	// Memory is what the runs hold for themselves.
+	Memory id.Tokens
 }
 
 // Event is one input of the chooser.
@@ -70,6 +84,12 @@
 // Started reports the first byte of an answer.
 type Started struct{ Ticket Ticket }
 
+// Paused reports the longest pause of a stream.
+type Paused struct {
+	Ticket  Ticket
+	Longest time.Duration
+}
+
 // Ended reports that a request no longer runs. Failed is set when the upstream
 // broke it off or gave no answer, Unreached when it could not be connected to.
 type Ended struct {
@@ -82,7 +102,8 @@
 type Heard struct {
 	Instance id.Instance
 	Loads    map[id.Upstream]Load
-	Demand   Demand
+	// Demand is that of Demand.
+	Demand float64
 }
 
 // Warned reports that another instance keeps away from an upstream.
@@ -93,6 +114,7 @@
 
 func (Configured) event() {}
 func (Started) event()    {}
+func (Paused) event()     {}
 func (Ended) event()      {}
 func (Heard) event()      {}
 func (Warned) event()     {}
@@ -136,10 +158,12 @@
 
 // run is a request in progress.
 type run struct {
-	upstream  *upstream
-	prefill   id.Tokens
-	sensitive bool
-	started   bool
+	upstream *upstream
+	prefill  id.Tokens
+	memory   id.Tokens
+	urgency  int
+	kind     kind
+	started  bool
 }
 
 type heard struct {
@@ -155,6 +179,10 @@
 		c.configure(ev)
 	case Started:
 		c.start(ev.Ticket)
+	case Paused:
+		if r, ok := c.running[ev.Ticket]; ok && r.kind == bulk {
+			c.lanes.paused(ev.Longest)
+		}
 	case Ended:
 		c.end(now, ev)
 	case Heard:
@@ -197,7 +225,7 @@
 		return
 	}
 	r.started = true
-	r.upstream.own.Prefill -= r.prefill
+	r.upstream.own.Prefill[r.urgency] -= r.prefill
 }
 
 func (c *Chooser) end(now time.Time, ev Ended) {
@@ -208,10 +236,11 @@
 	delete(c.running, ev.Ticket)
 	u := r.upstream
 	u.own.Running--
+	u.own.Memory -= r.memory
 	if !r.started {
-		u.own.Prefill -= r.prefill
+		u.own.Prefill[r.urgency] -= r.prefill
 	}
-	if r.sensitive {
+	if r.kind == sensitive {
 		u.own.Sensitive--
 	}
 	switch {
@@ -308,11 +337,12 @@
 		u, chosen = c.engine(now, r, candidates)
 	}
 	u.own.Running++
-	u.own.Prefill += chosen.Prefill
-	if r.Sensitive {
+	u.own.Memory += r.memory()
+	u.own.Prefill[r.Urgency] += chosen.Prefill
+	if chosen.kind == sensitive {
 		u.own.Sensitive++
 	}
-	c.running[r.Ticket] = &run{upstream: u, prefill: chosen.Prefill, sensitive: r.Sensitive}
+	c.running[r.Ticket] = &run{upstream: u, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind}
 	return chosen, true
 }
 
@@ -344,8 +374,11 @@
 		}
 		l := h.Loads[u.Upstream]
 		total.Running += l.Running
-		total.Prefill += l.Prefill
+		for urgency, tokens := range l.Prefill {
+			total.Prefill[urgency] += tokens
+		}
 		total.Sensitive += l.Sensitive
+		total.Memory += l.Memory
 	}
 	return total
 }
--- a/coordination/choice/engine.go
+++ b/coordination/choice/engine.go
@@ -20,37 +20,97 @@
 	runPenalty = 500 * time.Microsecond
 	// farPenalty is the cost of another failure domain.
 	farPenalty = 2 * time.Millisecond
-	// bulkObjectives is how many times the tightest objective of its service
-	// the objective of bulk requests is.
-	bulkObjectives = 3
+	// streamPenalty is the cost of each sensitive stream that runs beside and
+	// that reading delays.
+	streamPenalty = 2 * time.Millisecond
+	// readingWeight is how many times its own time the reading of a prompt
+	// costs: it delays all that come later.
+	readingWeight = 2
+	// lessUrgent is the part of less urgent reading that is ahead all the same.
+	lessUrgent = 0.25
+	// fullShare is the part of an engine's slots or memory from which on more
+	// requests would preempt others, fullPenalty the cost of all above it.
+	fullShare   = 0.8
+	fullPenalty = 10 * time.Second
 )
 
 // engine chooses among engines: within the lane of the request, the one with
 // the least expected time to the first event.
 func (c *Chooser) engine(now time.Time, r Request, candidates []*upstream) (*upstream, Choice) {
-	bulk := r.Objective >= bulkObjectives*c.tightest
-	lane := c.lane(now, bulk, candidates)
-	key := affinity(r.Parts)
-	slices.SortFunc(lane, func(a, b *upstream) int { return cmp.Compare(b.score(key), a.score(key)) })
+	kind := c.kind(r)
+	lane := c.lane(now, kind, candidates)
+	best, choice, cost := c.cheapest(now, r, kind, lane)
+	if kind == sensitive && cost > r.Objective {
+		// The lane is full: anywhere is better than after the objective.
+		best, choice, _ = c.cheapest(now, r, kind, slices.Clone(candidates))
+	}
+	best.cache.add(r.Parts, c.service.Engine.KVTokens)
+	if kind == sensitive {
+		c.lanes.decay(now)
+		c.lanes.reading += reading(choice.Prefill).Seconds()
+	}
+	return best, choice
+}
 
+// cheapest returns the engine of least cost, and that cost.
+func (c *Chooser) cheapest(now time.Time, r Request, k kind, engines []*upstream) (*upstream, Choice, time.Duration) {
+	key := affinity(r.Parts)
+	slices.SortFunc(engines, func(a, b *upstream) int { return cmp.Compare(b.score(key), a.score(key)) })
 	var best *upstream
 	var choice Choice
 	least := time.Duration(0)
-	for rank, u := range lane {
+	for rank, u := range engines {
 		load := c.load(now, u)
+		ahead := load.ahead(r.Urgency)
 		prefill := u.cache.missing(r.Parts, rank == 0)
-		cost := reading(load.Prefill+prefill) +
+		cost := reading(ahead) + readingWeight*reading(prefill) +
 			time.Duration(rank)*rankPenalty +
 			time.Duration(load.Running)*runPenalty +
-			time.Duration(c.far(u))*farPenalty
+			time.Duration(c.far(u))*farPenalty +
+			c.crowding(load)
+		if k == tolerant {
+			cost += time.Duration(load.Sensitive) * streamPenalty
+		}
 		if best == nil || cost < least {
 			best, least = u, cost
-			choice = Choice{Entry: u.Entry, Prefill: prefill, Ahead: load.Prefill, Rank: rank}
+			choice = Choice{Entry: u.Entry, Prefill: prefill, Ahead: ahead, Rank: rank, kind: k}
 		}
 	}
-	best.cache.add(r.Parts, c.capacity())
-	c.lanes.demand(now, bulk, choice.Prefill)
-	return best, choice
+	return best, choice, least
+}
+
+// crowding is the cost of an engine that is nearly full.
+func (c *Chooser) crowding(l Load) time.Duration {
+	engine := c.service.Engine
+	taken := 0.0
+	if engine.Slots > 0 {
+		taken = float64(l.Running) / float64(engine.Slots)
+	}
+	if engine.KVTokens > 0 {
+		taken = max(taken, float64(l.Memory)/float64(engine.KVTokens))
+	}
+	return time.Duration(max(taken-fullShare, 0) * float64(fullPenalty))
+}
+
+// memory is what a run holds that no other run shares, when it is half done.
+func (r Request) memory() id.Tokens {
+	if len(r.Parts) == 0 {
+		return 0
+	}
+	return r.Parts[len(r.Parts)-1].Tokens + r.OutputTokens/2
+}
+
+// ahead returns how many tokens are read before those of a new request.
+func (l Load) ahead(urgency int) id.Tokens {
+	ahead := 0.0
+	for u, tokens := range l.Prefill {
+		if u <= urgency {
+			ahead += float64(tokens)
+		} else {
+			ahead += lessUrgent * float64(tokens)
+		}
+	}
+	return id.Tokens(ahead)
 }
 
 func (c *Chooser) capacity() id.Tokens { return c.service.Engine.KVTokens }
--- a/coordination/choice/lanes.go
+++ b/coordination/choice/lanes.go
@@ -5,115 +5,145 @@
 	"math"
 	"slices"
 	"time"
+)
+
+// kind says how a request gets along with others on one engine.
+type kind string
 
-	"samphirehead/state/id"
+const (
+	// bulk requests have long prompts, whose reading stretches the pauses of
+	// all streams beside them.
+	bulk kind = "bulk"
+	// sensitive streams have an objective for pauses that reading beside them
+	// breaks.
+	sensitive kind = "sensitive"
+	// tolerant requests are neither.
+	tolerant kind = "tolerant"
 )
 
 const (
+	// bulkObjectives is how many times the tightest objective of its service
+	// the objective of bulk requests is.
+	bulkObjectives = 3
+	// fullStep is how long an engine is assumed to need for one token beside
+	// the reading of a long prompt, until streams beside it tell.
+	fullStep = 35 * time.Millisecond
+	// pauseQuantile is the share of streams beside bulk requests whose
+	// longest pause is at most what is learned, pauseStep how much one stream
+	// moves it, and pauseMargin what is added for the others.
+	pauseQuantile = 0.9
+	pauseStep     = 0.02
+	pauseMargin   = 1.25
+
 	// demandMemory is the time constant of the demand for reading.
 	demandMemory = 2 * time.Second
-	// promptUse is the part of their time that engines of prompt requests are
-	// meant to read at most, bulkUse that of engines of bulk requests.
-	promptUse = 0.3
-	bulkUse   = 0.6
-	// streamsPerEngine is the number of streams with an objective for pauses
-	// that one engine is meant to carry at most.
-	streamsPerEngine = 24
-	// moveInterval is the least time between two moves of the line.
-	moveInterval = time.Second
-	// moveSlack is how many engines the line may be off before it moves.
-	moveSlack = 1
+	// laneUse is the part of their time that engines of sensitive streams are
+	// meant to read at most.
+	laneUse = 0.35
+	// streamsPerEngine is the number of sensitive streams that one engine is
+	// meant to carry.
+	streamsPerEngine = 28
+	// shrinkInterval is the least time between two steps down, shrinkSlack
+	// how many engines the lane may be too large before it takes one.
+	shrinkInterval = 2 * time.Second
+	shrinkSlack    = 1.3
+	// laneShare is the largest part of the engines that the lane takes.
+	laneShare = 0.7
 )
 
-// Demand is what the requests of one entry ask for, in engines.
-type Demand struct {
-	// Prompt and Bulk are the parts of one engine's time that reading takes.
-	Prompt, Bulk float64
+// lanes keeps bulk requests and sensitive streams on different engines. The
+// lane of sensitive streams follows the demand of all entries; all other
+// engines run bulk requests. Tolerant requests run on any.
+type lanes struct {
+	// size is the number of engines that bulk requests stay away from.
+	size   int
+	shrunk time.Time
+	// reading is this entry's decaying sum of seconds of reading for sensitive
+	// streams, as of at.
+	reading float64
+	at      time.Time
+	// pause is the longest pause that most streams beside bulk requests have;
+	// 0 until one told.
+	pause time.Duration
 }
 
-// lanes keeps bulk requests, whose long prompts delay the events of all
-// streams beside them, and all others on different engines. The line between
-// them follows the demand of all entries.
-type lanes struct {
-	// prompt is the number of engines that bulk requests stay away from.
-	prompt int
-	moved  time.Time
-	// own is this entry's decaying sum of seconds of reading, as of at.
-	own Demand
-	at  time.Time
+func (l *lanes) decay(now time.Time) {
+	if passed := now.Sub(l.at); passed > 0 {
+		l.reading *= math.Exp(-passed.Seconds() / demandMemory.Seconds())
+		l.at = now
+	}
 }
 
-// demand counts tokens to be read.
-func (l *lanes) demand(now time.Time, bulk bool, tokens id.Tokens) {
-	l.decay(now)
-	if bulk {
-		l.own.Bulk += reading(tokens).Seconds()
+// paused learns from the longest pause of a stream beside bulk requests.
+func (l *lanes) paused(longest time.Duration) {
+	step := time.Duration(pauseStep * float64(l.pause))
+	if longest > l.pause {
+		l.pause += time.Duration(pauseQuantile * float64(step))
 		return
 	}
-	l.own.Prompt += reading(tokens).Seconds()
+	l.pause -= time.Duration((1 - pauseQuantile) * float64(step))
 }
 
-func (l *lanes) decay(now time.Time) {
-	if passed := now.Sub(l.at); passed > 0 {
-		factor := math.Exp(-passed.Seconds() / demandMemory.Seconds())
-		l.own.Bulk *= factor
-		l.own.Prompt *= factor
-		l.at = now
+// kind tells the requests apart.
+func (c *Chooser) kind(r Request) kind {
+	if c.lanes.pause == 0 {
+		c.lanes.pause = time.Duration(max(c.service.Engine.EventTokens, 1)) * fullStep
+	}
+	tolerated := time.Duration(pauseMargin * float64(c.lanes.pause))
+	switch {
+	case c.tightest > 0 && r.Objective >= bulkObjectives*c.tightest:
+		return bulk
+	case r.Pause > 0 && r.Pause < tolerated:
+		return sensitive
 	}
+	return tolerant
 }
 
-// Demand returns what the requests of this entry ask for.
-func (c *Chooser) Demand(now time.Time) Demand {
+// Demand returns the part of one engine's time that reading for sensitive
+// streams of this entry takes.
+func (c *Chooser) Demand(now time.Time) float64 {
 	c.lanes.decay(now)
-	return Demand{
-		Prompt: c.lanes.own.Prompt / demandMemory.Seconds(),
-		Bulk:   c.lanes.own.Bulk / demandMemory.Seconds(),
-	}
+	return c.lanes.reading / demandMemory.Seconds()
 }
 
-// lane returns the candidates for bulk or for other requests. Where there is
-// one engine only, both get it.
-func (c *Chooser) lane(now time.Time, bulk bool, candidates []*upstream) []*upstream {
-	if len(candidates) < 2 {
-		return candidates
-	}
+// lane returns the candidates for a kind of request. Where there is one engine
+// only, all get it.
+func (c *Chooser) lane(now time.Time, k kind, candidates []*upstream) []*upstream {
 	ordered := slices.Clone(candidates)
+	if len(ordered) < 2 {
+		return ordered
+	}
 	slices.SortFunc(ordered, func(a, b *upstream) int { return cmp.Compare(a.score(""), b.score("")) })
-	total := c.Demand(now)
-	sensitive := 0
+	reading, streams := c.Demand(now), 0
 	for _, h := range c.others {
 		if now.Sub(h.at) <= heardFor {
-			total.Prompt += h.Demand.Prompt
-			total.Bulk += h.Demand.Bulk
+			reading += h.Demand
 		}
 	}
 	for _, u := range candidates {
-		sensitive += c.load(now, u).Sensitive
+		streams += c.load(now, u).Sensitive
 	}
-	c.lanes.resize(now, total, sensitive, len(ordered))
-	if bulk {
-		return ordered[c.lanes.prompt:]
+	c.lanes.resize(now, reading, streams, len(ordered))
+	switch k {
+	case bulk:
+		return ordered[c.lanes.size:]
+	case sensitive:
+		return ordered[:c.lanes.size]
 	}
-	return ordered[:c.lanes.prompt]
+	return ordered
 }
 
-// resize moves the line to where the demand of both sides puts it. Engines
-// that neither needs go to bulk requests, whose shared prompts fill the caches.
-func (l *lanes) resize(now time.Time, total Demand, sensitive, engines int) {
-	prompt := max(total.Prompt/promptUse, float64(sensitive)/streamsPerEngine, 1)
-	bulk := max(total.Bulk/bulkUse, 1)
-	if scarce := (prompt + bulk) / float64(engines); scarce > 1 {
-		prompt /= scarce
+// resize makes the lane as large as the streams need at once, and smaller
+// slowly.
+func (l *lanes) resize(now time.Time, reading float64, streams, engines int) {
+	needed := max(reading/laneUse, float64(streams)/streamsPerEngine)
+	most := max(int(laneShare*float64(engines)), 1)
+	if wanted := int(math.Ceil(needed)); wanted > l.size {
+		l.size, l.shrunk = wanted, now
 	}
-	wanted := min(max(int(math.Ceil(prompt)), (engines+2)/3), engines-1)
-	off := wanted - l.prompt
-	switch {
-	case l.prompt == 0 || l.prompt >= engines:
-		l.prompt, l.moved = wanted, now
-	case off > 0 || off < -moveSlack:
-		if now.Sub(l.moved) >= moveInterval {
-			l.prompt += off / max(off, -off)
-			l.moved = now
-		}
+	if needed+shrinkSlack < float64(l.size) && now.Sub(l.shrunk) >= shrinkInterval {
+		l.size--
+		l.shrunk = now
 	}
+	l.size = min(max(l.size, 1), most)
 }
--- a/router/peers.go
+++ b/router/peers.go
@@ -144,7 +144,7 @@
 	self, others := r.pulse.Message(now)
 	s := &exchange.State{
 		Self:   memberFrom(self),
-		Demand: make(map[string]*exchange.Demand),
+		Demand: make(map[string]float32),
 		Tables: []*exchange.Table{
 			{Name: r.routes.name, Content: uint64(r.routes.Content()), Reached: r.routes.reached.Load()},
 			{Name: r.upstreams.name, Content: uint64(r.upstreams.Content()), Reached: r.upstreams.reached.Load()},
@@ -154,13 +154,9 @@
 		s.Members = append(s.Members, memberFrom(o))
 	}
 	for service, c := range r.pools.choosers {
-		demand := c.Demand(now)
-		s.Demand[string(service)] = &exchange.Demand{Prompt: float32(demand.Prompt), Bulk: float32(demand.Bulk)}
+		s.Demand[string(service)] = float32(c.Demand(now))
 		for upstream, l := range c.Loads() {
-			s.Loads = append(s.Loads, &exchange.Load{
-				Upstream: string(upstream), Running: uint32(max(l.Running, 0)),
-				PrefillTokens: uint32(max(l.Prefill, 0)), Sensitive: uint32(max(l.Sensitive, 0)),
-			})
+			s.Loads = append(s.Loads, loadFrom(upstream, l))
 		}
 		for upstream, left := range c.Ejected(now) {
 			s.Failing = append(s.Failing, &exchange.Failing{Upstream: string(upstream), ForUs: left.Microseconds()})
@@ -218,16 +214,13 @@
 func (r *Router) hearLoads(now time.Time, s *exchange.State) {
 	loads := make(map[id.Upstream]choice.Load, len(s.Loads))
 	for _, l := range s.Loads {
-		loads[id.Upstream(l.Upstream)] = choice.Load{
-			Running: int(l.Running), Prefill: id.Tokens(l.PrefillTokens), Sensitive: int(l.Sensitive),
-		}
+		loads[id.Upstream(l.Upstream)] = loadOf(l)
 	}
 	for service, c := range r.pools.choosers {
-		demand := s.Demand[string(service)]
 		c.Step(now, choice.Heard{
 			Instance: id.Instance(s.Self.Instance),
 			Loads:    loads,
-			Demand:   choice.Demand{Prompt: float64(demand.GetPrompt()), Bulk: float64(demand.GetBulk())},
+			Demand:   float64(s.Demand[string(service)]),
 		})
 		for _, f := range s.Failing {
 			c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
@@ -235,6 +228,26 @@
 	}
 }
 
+func loadFrom(upstream id.Upstream, l choice.Load) *exchange.Load {
+	out := &exchange.Load{Upstream: string(upstream), Running: uint32(l.Running), Sensitive: uint32(l.Sensitive), Memory: uint32(l.Memory)}
+	for urgency, tokens := range l.Prefill {
+		if tokens > 0 {
+			out.Prefill = append(out.Prefill, &exchange.Prefill{Urgency: uint32(urgency), Tokens: uint32(tokens)})
+		}
+	}
+	return out
+}
+
+func loadOf(l *exchange.Load) choice.Load {
+	out := choice.Load{Running: int(l.Running), Sensitive: int(l.Sensitive), Memory: id.Tokens(l.Memory)}
+	for _, p := range l.Prefill {
+		if p.Urgency < choice.Urgencies {
+			out.Prefill[p.Urgency] += id.Tokens(p.Tokens)
+		}
+	}
+	return out
+}
+
 func memberFrom(r pulse.Record) *exchange.Member {
 	return &exchange.Member{
 		Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
--- a/router/serve.go
+++ b/router/serve.go
@@ -221,7 +221,7 @@
 
 // urgency is the rank that an engine orders requests by.
 func (j *job) urgency() int {
-	return min(max(j.route.PriorityFor(j.workspace), 0), 9)
+	return min(max(j.route.PriorityFor(j.workspace), 0), choice.Urgencies-1)
 }
 
 // choose takes an upstream for the next attempt.
@@ -239,8 +239,11 @@
 		Ticket:    ticket,
 		Parts:     j.Parts,
 		Objective: j.route.Objective,
-		Sensitive: j.route.Streaming && j.route.PauseObjective > 0,
+		Pause:     j.route.PauseObjective,
+		Urgency:   j.urgency(),
 		Excluded:  j.tried,
+
+		OutputTokens: j.OutputTokens,
 	})
 	return chosen, ticket, ok
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -21,6 +21,7 @@
 	for {
 		err := p.pass(a)
 		if err == nil {
+			j.router.step(j.service, choice.Paused{Ticket: a.ticket, Longest: p.longest})
 			j.router.step(j.service, choice.Ended{Ticket: a.ticket})
 			j.observe(a, p)
 			j.completed(a, nil)
