--- a/coordination/choice/engine.go
+++ b/coordination/choice/engine.go
@@ -25,7 +25,7 @@
 	streamPenalty = 2 * time.Millisecond
 	// readingWeight is how many times its own time the reading of a prompt
 	// costs: it delays all that come later.
-	readingWeight = 2
+	readingWeight = 6
 	// lessUrgent is the part of less urgent reading that is ahead all the same.
 	lessUrgent = 0.25
 	// fullShare is the part of an engine's slots or memory from which on more
@@ -113,8 +113,6 @@
 	return id.Tokens(ahead)
 }
 
-func (c *Chooser) capacity() id.Tokens { return c.service.Engine.KVTokens }
-
 // reading is the time that an engine takes to read a prompt.
 func reading(tokens id.Tokens) time.Duration {
 	return time.Duration(float64(tokens) / tokensPerSecond * float64(time.Second))
