choice: find upstreams that fail a part of their requests by all entries' counts

Cause: a grey upstream fails 45% of its requests at once and is the least loaded for that; three failures in a row are rare and each success forgives.

Entries tell each other how many runs ended and failed lately. An upstream is ejected when a quarter of 4 or more failed and 2.5 times as many as at the others, so that requests that fail everywhere eject nobody. A request whose time ends without an answer counts as failed.

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -37,6 +37,8 @@
 	OutputTokens id.Tokens
 	// Excluded upstreams are not chosen.
 	Excluded []id.Upstream
+	// Only, unless empty, is the one upstream that may be chosen.
+	Only id.Upstream
 }
 
 // Ticket numbers the requests of one entry.
@@ -68,6 +70,8 @@
 	Sensitive int
 	// Memory is what the runs hold for themselves.
 	Memory id.Tokens
+	// Ended and Failed count the runs that ended lately, fading.
+	Ended, Failed float64
 }
 
 // Event is one input of the chooser.
@@ -119,14 +123,8 @@
 func (Heard) event()      {}
 func (Warned) event()     {}
 
-const (
-	// heardFor is how long the load of another instance counts.
-	heardFor = time.Second
-	// failureLimit is the number of failures in a row that eject an upstream.
-	failureLimit    = 3
-	firstEjection   = 500 * time.Millisecond
-	longestEjection = 4 * time.Second
-)
+// heardFor is how long the load of another instance counts.
+const heardFor = time.Second
 
 // Chooser chooses among the upstreams of one service. Its exported fields are
 // set before the first Step. It is not safe for concurrent use.
@@ -154,6 +152,8 @@
 	ejections    int
 	// warnedUntil is how long another entry keeps away.
 	warnedUntil time.Time
+	// countedAt is the time up to which own.Ended and own.Failed have faded.
+	countedAt time.Time
 }
 
 // run is a request in progress.
@@ -243,45 +243,23 @@
 	if r.kind == sensitive {
 		u.own.Sensitive--
 	}
+	u.fade(now)
 	switch {
 	case ev.Unreached:
 		u.eject(now)
 	case ev.Failed:
+		u.own.Ended++
+		u.own.Failed++
 		u.failures++
-		if u.failures >= failureLimit {
+		if u.failures >= failureLimit || c.failsMore(now, u) {
 			u.eject(now)
 		}
 	case r.started:
+		u.own.Ended++
 		u.succeed(now)
 	}
 }
 
-// eject keeps an upstream away for a time that grows with each ejection in a
-// row. One more failure after it ejects the upstream again.
-func (u *upstream) eject(now time.Time) {
-	if now.Before(u.ejectedUntil) {
-		return
-	}
-	u.ejectedUntil = now.Add(min(firstEjection<<min(u.ejections, 8), longestEjection))
-	u.ejections++
-	u.failures = failureLimit - 1
-	u.cache = cache{}
-}
-
-// succeed counts a whole answer. An upstream that has been good for a while is
-// given its full credit back.
-func (u *upstream) succeed(now time.Time) {
-	u.failures = 0
-	if now.Sub(u.ejectedUntil) > longestEjection {
-		u.ejections = 0
-	}
-}
-
-// away reports whether the upstream is kept from being chosen.
-func (u *upstream) away(now time.Time) bool {
-	return now.Before(u.ejectedUntil) || now.Before(u.warnedUntil)
-}
-
 // Ejected returns the upstreams that this entry keeps away from, and how long.
 func (c *Chooser) Ejected(now time.Time) map[id.Upstream]time.Duration {
 	ejected := make(map[id.Upstream]time.Duration)
@@ -293,11 +271,12 @@
 	return ejected
 }
 
-// Loads returns what this entry has in progress.
-func (c *Chooser) Loads() map[id.Upstream]Load {
+// Loads returns what this entry has in progress, and how its runs ended.
+func (c *Chooser) Loads(now time.Time) map[id.Upstream]Load {
 	loads := make(map[id.Upstream]Load)
 	for _, u := range c.upstreams {
-		if u.own.Running > 0 {
+		u.fade(now)
+		if u.own.Running > 0 || u.own.Ended > leastCount {
 			loads[u.Upstream] = u.own
 		}
 	}
@@ -352,7 +331,7 @@
 	var good, ejected []*upstream
 	for _, u := range c.upstreams {
 		switch {
-		case slices.Contains(r.Excluded, u.Upstream):
+		case slices.Contains(r.Excluded, u.Upstream), r.Only != "" && r.Only != u.Upstream:
 		case u.away(now):
 			ejected = append(ejected, u)
 		default:
@@ -379,6 +358,8 @@
 		}
 		total.Sensitive += l.Sensitive
 		total.Memory += l.Memory
+		total.Ended += l.Ended
+		total.Failed += l.Failed
 	}
 	return total
 }
--- a/coordination/choice/choice_test.go
+++ b/coordination/choice/choice_test.go
@@ -113,7 +113,7 @@
 		for range c.failures {
 			ended := c.ended
 			ended.Ticket = n.next()
-			chooser.Choose(start, choice.Request{Ticket: ended.Ticket, Excluded: []id.Upstream{"u01"}})
+			chooser.Choose(start, choice.Request{Ticket: ended.Ticket, Only: "u00"})
 			chooser.Step(start, ended)
 		}
 		if got := chooser.Ejected(start)["u00"] > 0; got != c.want {
@@ -250,3 +250,59 @@
 		}
 	}
 }
+
+// run sends a request to one upstream and ends it.
+func run(c *choice.Chooser, now time.Time, n *tickets, name id.Upstream, failed bool) {
+	c.Choose(now, choice.Request{Ticket: n.next(), Only: name})
+	if !failed {
+		c.Step(now, choice.Started{Ticket: n.last})
+	}
+	c.Step(now, choice.Ended{Ticket: n.last, Failed: failed})
+}
+
+// Pattern: an upstream fails every second request, and quickly, while its
+// health check is good. It is found though it never fails three in a row.
+func TestUpstreamThatFailsPartOfItsRequestsIsFound(t *testing.T) {
+	c := chooser(3, 0)
+	var n tickets
+	now := start
+	for i := range 8 {
+		now = now.Add(100 * time.Millisecond)
+		run(c, now, &n, "u00", i%2 == 1)
+		run(c, now, &n, "u01", false)
+		run(c, now, &n, "u02", i == 3)
+	}
+	ejected := c.Ejected(now)
+	if _, ok := ejected["u00"]; !ok || len(ejected) != 1 {
+		t.Errorf("ejected %v, want u00", ejected)
+	}
+}
+
+// Pattern: the same, seen only by all instances together.
+func TestFailuresOfOtherInstancesCount(t *testing.T) {
+	c := chooser(3, 0)
+	var n tickets
+	c.Step(start, choice.Heard{Instance: "other", Loads: map[id.Upstream]choice.Load{
+		"u00": {Ended: 6, Failed: 3}, "u01": {Ended: 6}, "u02": {Ended: 6},
+	}})
+	run(c, start, &n, "u00", true)
+	if _, ok := c.Ejected(start)["u00"]; !ok {
+		t.Error("u00 is not ejected")
+	}
+}
+
+// Where all fail alike, the requests are at fault, or nothing can be won.
+func TestEqualFailuresEjectNobody(t *testing.T) {
+	c := chooser(3, 0)
+	var n tickets
+	now := start
+	for i := range 12 {
+		now = now.Add(100 * time.Millisecond)
+		for _, name := range []id.Upstream{"u00", "u01", "u02"} {
+			run(c, now, &n, name, i%2 == 1)
+		}
+	}
+	if ejected := c.Ejected(now); len(ejected) != 0 {
+		t.Errorf("ejected %v", ejected)
+	}
+}
--- /dev/null
+++ b/coordination/choice/health.go
@@ -0,0 +1,79 @@
+package choice
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failureLimit is the number of failures in a row that eject an upstream.
+	failureLimit    = 3
+	firstEjection   = 500 * time.Millisecond
+	longestEjection = 4 * time.Second
+
+	// countMemory is the time constant of the counts of ended runs, leastCount
+	// what they fade to before they are not told any more.
+	countMemory = 3 * time.Second
+	leastCount  = 0.1
+	// An upstream fails more than others if, of enoughRuns or more over all
+	// entries, failingShare or more failed, and failingRatio times as many as
+	// at the others.
+	enoughRuns   = 4
+	failingShare = 0.25
+	failingRatio = 2.5
+)
+
+// fade lets the counts of ended runs fade.
+func (u *upstream) fade(now time.Time) {
+	if passed := now.Sub(u.countedAt); passed > 0 {
+		factor := math.Exp(-passed.Seconds() / countMemory.Seconds())
+		u.own.Ended *= factor
+		u.own.Failed *= factor
+		u.countedAt = now
+	}
+}
+
+// failsMore reports whether an upstream that answers some requests fails
+// clearly more of them than the others of its service.
+func (c *Chooser) failsMore(now time.Time, u *upstream) bool {
+	load := c.load(now, u)
+	if load.Ended < enoughRuns || load.Failed < failingShare*load.Ended {
+		return false
+	}
+	ended, failed := 0.0, 0.0
+	for _, other := range c.upstreams {
+		if other == u {
+			continue
+		}
+		l := c.load(now, other)
+		ended += l.Ended
+		failed += l.Failed
+	}
+	return failed*load.Ended*failingRatio <= load.Failed*ended
+}
+
+// eject keeps an upstream away for a time that grows with each ejection in a
+// row. One more failure after it ejects the upstream again.
+func (u *upstream) eject(now time.Time) {
+	if now.Before(u.ejectedUntil) {
+		return
+	}
+	u.ejectedUntil = now.Add(min(firstEjection<<min(u.ejections, 8), longestEjection))
+	u.ejections++
+	u.failures = failureLimit - 1
+	u.cache = cache{}
+}
+
+// succeed counts a whole answer. An upstream that has been good for a while is
+// given its full credit back.
+func (u *upstream) succeed(now time.Time) {
+	u.failures = 0
+	if now.Sub(u.ejectedUntil) > longestEjection {
+		u.ejections = 0
+	}
+}
+
+// away reports whether the upstream is kept from being chosen.
+func (u *upstream) away(now time.Time) bool {
+	return now.Before(u.ejectedUntil) || now.Before(u.warnedUntil)
+}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -178,9 +178,10 @@
 		j.ran++
 	}
 	broke := result == failed && ctx.Err() == nil
+	silent := result == failed && errors.Is(ctx.Err(), context.DeadlineExceeded)
 	j.router.step(j.service, choice.Ended{
 		Ticket:    a.ticket,
-		Failed:    broke || result == faulty,
+		Failed:    broke || silent || result == faulty,
 		Unreached: result == rejected && a.response == nil && ctx.Err() == nil,
 	})
 	if broke {
--- a/router/peers.go
+++ b/router/peers.go
@@ -155,7 +155,7 @@
 	}
 	for service, c := range r.pools.choosers {
 		s.Demand[string(service)] = float32(c.Demand(now))
-		for upstream, l := range c.Loads() {
+		for upstream, l := range c.Loads(now) {
 			s.Loads = append(s.Loads, loadFrom(upstream, l))
 		}
 		for upstream, left := range c.Ejected(now) {
@@ -229,7 +229,8 @@
 }
 
 func loadFrom(upstream id.Upstream, l choice.Load) *exchange.Load {
-	out := &exchange.Load{Upstream: string(upstream), Running: uint32(l.Running), Sensitive: uint32(l.Sensitive), Memory: uint32(l.Memory)}
+	out := &exchange.Load{Upstream: string(upstream), Running: uint32(l.Running), Sensitive: uint32(l.Sensitive), Memory: uint32(l.Memory),
+		Ended: float32(l.Ended), Failed: float32(l.Failed)}
 	for urgency, tokens := range l.Prefill {
 		if tokens > 0 {
 			out.Prefill = append(out.Prefill, &exchange.Prefill{Urgency: uint32(urgency), Tokens: uint32(tokens)})
@@ -239,7 +240,8 @@
 }
 
 func loadOf(l *exchange.Load) choice.Load {
-	out := choice.Load{Running: int(l.Running), Sensitive: int(l.Sensitive), Memory: id.Tokens(l.Memory)}
+	out := choice.Load{Running: int(l.Running), Sensitive: int(l.Sensitive), Memory: id.Tokens(l.Memory),
+		Ended: float64(l.Ended), Failed: float64(l.Failed)}
 	for _, p := range l.Prefill {
 		if p.Urgency < choice.Urgencies {
 			out.Prefill[p.Urgency] += id.Tokens(p.Tokens)
