choice: send less to upstreams that begin much later than others

Cause: an upstream that works five or eight times as long fails nothing, so that nothing kept requests from it. Entries now tell how long runs took to begin against what was expected; one that takes three times as long as the others, over 5 runs, costs that many times as much. Among equally loaded plain workers the one that began fewest lately goes first, so that all can be compared (a single near one had everything: the test failed on that first).

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -4,6 +4,7 @@
 package choice
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -72,6 +73,9 @@
 	Memory id.Tokens
 	// Ended and Failed count the runs that ended lately, fading.
 	Ended, Failed float64
+	// Begun counts the runs that began lately, fading, and Pace adds up how
+	// many times as long as expected that took.
+	Begun, Pace float64
 }
 
 // Event is one input of the chooser.
@@ -163,6 +167,9 @@
 	memory   id.Tokens
 	urgency  int
 	kind     kind
+	// expected is the time to the first byte, from when it was chosen.
+	expected time.Duration
+	chosen   time.Time
 	started  bool
 }
 
@@ -178,7 +185,7 @@
 	case Configured:
 		c.configure(ev)
 	case Started:
-		c.start(ev.Ticket)
+		c.start(now, ev.Ticket)
 	case Paused:
 		if r, ok := c.running[ev.Ticket]; ok && r.kind == bulk {
 			c.lanes.paused(ev.Longest)
@@ -219,13 +226,17 @@
 	c.byName = byName
 }
 
-func (c *Chooser) start(ticket Ticket) {
+func (c *Chooser) start(now time.Time, ticket Ticket) {
 	r, ok := c.running[ticket]
 	if !ok || r.started {
 		return
 	}
 	r.started = true
-	r.upstream.own.Prefill[r.urgency] -= r.prefill
+	u := r.upstream
+	u.own.Prefill[r.urgency] -= r.prefill
+	u.fade(now)
+	u.own.Begun++
+	u.own.Pace += float64(now.Sub(r.chosen)) / float64(r.expected)
 }
 
 func (c *Chooser) end(now time.Time, ev Ended) {
@@ -321,7 +332,10 @@
 	if chosen.kind == sensitive {
 		u.own.Sensitive++
 	}
-	c.running[r.Ticket] = &run{upstream: u, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind}
+	c.running[r.Ticket] = &run{
+		upstream: u, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind,
+		expected: usualDelay + reading(chosen.Ahead+chosen.Prefill), chosen: now,
+	}
 	return chosen, true
 }
 
@@ -346,6 +360,7 @@
 
 // load adds up what all entries have in progress at an upstream.
 func (c *Chooser) load(now time.Time, u *upstream) Load {
+	u.fade(now)
 	total := u.own
 	for _, h := range c.others {
 		if now.Sub(h.at) > heardFor {
@@ -360,25 +375,32 @@
 		total.Memory += l.Memory
 		total.Ended += l.Ended
 		total.Failed += l.Failed
+		total.Begun += l.Begun
+		total.Pace += l.Pace
 	}
 	return total
 }
 
-// leastLoaded returns the candidate with the least work in progress, the
-// entry's own failure domain first.
+// leastLoaded returns the candidate with the least work in progress, more where
+// it is slow; among equal ones the one that began the fewest lately, so that all
+// can be compared.
 func (c *Chooser) leastLoaded(now time.Time, candidates []*upstream) *upstream {
 	return slices.MinFunc(candidates, func(a, b *upstream) int {
-		la, lb := c.load(now, a).Running, c.load(now, b).Running
+		la, lb := c.work(now, a), c.work(now, b)
 		if la != lb {
-			return la - lb
+			return cmp.Compare(la, lb)
 		}
-		if near := c.far(a) - c.far(b); near != 0 {
-			return near
+		if a.own.Begun != b.own.Begun {
+			return cmp.Compare(a.own.Begun, b.own.Begun)
 		}
 		return strings.Compare(string(a.Upstream), string(b.Upstream))
 	})
 }
 
+func (c *Chooser) work(now time.Time, u *upstream) float64 {
+	return float64(c.load(now, u).Running+1) * c.slowness(now, u)
+}
+
 func (c *Chooser) far(u *upstream) int {
 	if u.FailureDomain == c.FailureDomain {
 		return 0
--- a/coordination/choice/choice_test.go
+++ b/coordination/choice/choice_test.go
@@ -306,3 +306,35 @@
 		t.Errorf("ejected %v", ejected)
 	}
 }
+
+// Pattern: an upstream turns five times slower and fails nothing. It gets less
+// work within some requests, and its share again once it is as fast as others.
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	c := chooser(3, 0)
+	var n tickets
+	now := start
+	share := func(slow time.Duration) float64 {
+		mine := 0
+		for range 60 {
+			now = now.Add(100 * time.Millisecond)
+			got, _ := c.Choose(now, choice.Request{Ticket: n.next()})
+			took := 20 * time.Millisecond
+			if got.Upstream == "u00" {
+				mine++
+				took = slow
+			}
+			c.Step(now.Add(took), choice.Started{Ticket: n.last})
+			c.Step(now.Add(took), choice.Ended{Ticket: n.last})
+		}
+		return float64(mine) / 60
+	}
+	share(20 * time.Millisecond)
+	if got := share(100 * time.Millisecond); got > 0.2 {
+		t.Errorf("a slow upstream got %.2f of the requests", got)
+	}
+	now = now.Add(10 * time.Second)
+	share(20 * time.Millisecond)
+	if got := share(20 * time.Millisecond); got < 0.2 {
+		t.Errorf("an upstream that is fast again got %.2f of the requests", got)
+	}
+}
--- a/coordination/choice/engine.go
+++ b/coordination/choice/engine.go
@@ -26,6 +26,8 @@
 	// readingWeight is how many times its own time the reading of a prompt
 	// costs: it delays all that come later.
 	readingWeight = 6
+	// slowPenalty is the cost of an engine that takes twice as long as others.
+	slowPenalty = 100 * time.Millisecond
 	// lessUrgent is the part of less urgent reading that is ahead all the same.
 	lessUrgent = 0.25
 	// fullShare is the part of an engine's slots or memory from which on more
@@ -63,7 +65,9 @@
 		load := c.load(now, u)
 		ahead := load.ahead(r.Urgency)
 		prefill := u.cache.missing(r.Parts, rank == 0)
-		cost := reading(ahead) + readingWeight*reading(prefill) +
+		slow := c.slowness(now, u)
+		cost := time.Duration(slow*float64(reading(ahead)+readingWeight*reading(prefill))) +
+			time.Duration((slow-1)*float64(slowPenalty)) +
 			time.Duration(rank)*rankPenalty +
 			time.Duration(load.Running)*runPenalty +
 			time.Duration(c.far(u))*farPenalty +
--- a/coordination/choice/health.go
+++ b/coordination/choice/health.go
@@ -21,6 +21,15 @@
 	enoughRuns   = 4
 	failingShare = 0.25
 	failingRatio = 2.5
+
+	// usualDelay is what a first byte takes beside the reading of a prompt.
+	usualDelay = 15 * time.Millisecond
+	// An upstream is slow if, of enoughBegun runs or more over all entries,
+	// the mean began later than slowRatio times that of the others; mostSlow
+	// bounds what is made of it.
+	enoughBegun = 5
+	slowRatio   = 3
+	mostSlow    = 20
 )
 
 // fade lets the counts of ended runs fade.
@@ -29,6 +38,8 @@
 		factor := math.Exp(-passed.Seconds() / countMemory.Seconds())
 		u.own.Ended *= factor
 		u.own.Failed *= factor
+		u.own.Begun *= factor
+		u.own.Pace *= factor
 		u.countedAt = now
 	}
 }
@@ -52,6 +63,31 @@
 	return failed*load.Ended*failingRatio <= load.Failed*ended
 }
 
+// slowness returns how many times as long as at others an upstream takes to
+// begin; 1 for all that are not clearly slow.
+func (c *Chooser) slowness(now time.Time, u *upstream) float64 {
+	load := c.load(now, u)
+	if load.Begun < enoughBegun {
+		return 1
+	}
+	begun, pace := 0.0, 0.0
+	for _, other := range c.upstreams {
+		if other != u {
+			l := c.load(now, other)
+			begun += l.Begun
+			pace += l.Pace
+		}
+	}
+	if begun < enoughBegun || pace <= 0 {
+		return 1
+	}
+	ratio := load.Pace / load.Begun / (pace / begun)
+	if ratio < slowRatio {
+		return 1
+	}
+	return min(ratio, mostSlow)
+}
+
 // eject keeps an upstream away for a time that grows with each ejection in a
 // row. One more failure after it ejects the upstream again.
 func (u *upstream) eject(now time.Time) {
--- a/router/peers.go
+++ b/router/peers.go
@@ -230,7 +230,7 @@
 
 func loadFrom(upstream id.Upstream, l choice.Load) *exchange.Load {
 	out := &exchange.Load{Upstream: string(upstream), Running: uint32(l.Running), Sensitive: uint32(l.Sensitive), Memory: uint32(l.Memory),
-		Ended: float32(l.Ended), Failed: float32(l.Failed)}
+		Ended: float32(l.Ended), Failed: float32(l.Failed), Begun: float32(l.Begun), Pace: float32(l.Pace)}
 	for urgency, tokens := range l.Prefill {
 		if tokens > 0 {
 			out.Prefill = append(out.Prefill, &exchange.Prefill{Urgency: uint32(urgency), Tokens: uint32(tokens)})
@@ -241,7 +241,7 @@
 
 func loadOf(l *exchange.Load) choice.Load {
 	out := choice.Load{Running: int(l.Running), Sensitive: int(l.Sensitive), Memory: id.Tokens(l.Memory),
-		Ended: float64(l.Ended), Failed: float64(l.Failed)}
+		Ended: float64(l.Ended), Failed: float64(l.Failed), Begun: float64(l.Begun), Pace: float64(l.Pace)}
 	for _, p := range l.Prefill {
 		if p.Urgency < choice.Urgencies {
 			out.Prefill[p.Urgency] += id.Tokens(p.Tokens)
