--- a/instance/instance.go
+++ b/instance/instance.go
@@ -32,6 +32,7 @@
 	"samphirehead/state/manifest"
 	"samphirehead/state/metrics"
 	"samphirehead/state/settings"
+	"samphirehead/state/task"
 	"samphirehead/transport/caller"
 	"samphirehead/transport/engine"
 	"samphirehead/transport/operator"
@@ -223,32 +224,14 @@
 	queuedBackground = 1024
 )
 
-// task is a part that runs until its context ends.
-type task struct {
-	name string
-	run  func(context.Context) error
-}
-
 // Run serves until ctx ends, which cuts everything, or until the instance has
 // left. It returns the first error of any part.
 func (i *Instance) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	tasks := i.tasks()
-	ended := make(chan error, len(tasks))
-	for _, t := range tasks {
-		go func() { ended <- fault.At("run "+t.name, "", t.run(ctx)) }()
-	}
 	klog.InfoS("instance started", "instance", i.Settings.Instance, "callers", i.CallerAddr(), "peers", i.PeerAddr(), "operators", i.OperatorAddr())
-	var first error
-	for range tasks {
-		err := <-ended
-		first = errors.CombineErrors(first, err)
-		// The end of any part, also the drain, ends the others.
-		cancel()
-	}
+	// The end of any part, also the drain, ends the others.
+	err := task.Run(ctx, i.tasks())
 	i.awaitRecords(context.WithoutCancel(ctx), lastRecords)
-	return first
+	return err
 }
 
 // awaitRecords waits for the records of at-most-once calls whose callers have
@@ -261,22 +244,22 @@
 	}
 }
 
-func (i *Instance) tasks() []task {
-	return []task{
-		{"members", i.members.Run},
-		{"manifests", i.manifests.Run},
-		{"home", i.home.Run},
-		{"reservations", i.reserver.Run},
-		{"limits", i.limits.Run},
-		{"load reports", i.readReports},
-		{"reconfiguration", i.watch},
-		{"calls in the background", i.runBackground},
-		{"known crashes", i.learn},
-		{"leaving", i.runLeaving},
-		{"expiry of claims", i.expireClaims().Run},
-		{"callers", func(ctx context.Context) error { return serveHTTP(ctx, i.callers, i.callerServer()) }},
-		{"peers", func(ctx context.Context) error { return serveHTTP(ctx, i.peers, i.peerServer()) }},
-		{"operators", func(ctx context.Context) error { return serveHTTP(ctx, i.operators, i.operatorServer()) }},
+func (i *Instance) tasks() []task.Task {
+	return []task.Task{
+		{Name: "members", Run: i.members.Run},
+		{Name: "manifests", Run: i.manifests.Run},
+		{Name: "home", Run: i.home.Run},
+		{Name: "reservations", Run: i.reserver.Run},
+		{Name: "limits", Run: i.limits.Run},
+		{Name: "load reports", Run: i.readReports},
+		{Name: "reconfiguration", Run: i.watch},
+		{Name: "calls in the background", Run: i.runBackground},
+		{Name: "known crashes", Run: i.learn},
+		{Name: "leaving", Run: i.runLeaving},
+		{Name: "expiry of claims", Run: i.expireClaims().Run},
+		{Name: "callers", Run: func(ctx context.Context) error { return serveHTTP(ctx, i.callers, i.callerServer()) }},
+		{Name: "peers", Run: func(ctx context.Context) error { return serveHTTP(ctx, i.peers, i.peerServer()) }},
+		{Name: "operators", Run: func(ctx context.Context) error { return serveHTTP(ctx, i.operators, i.operatorServer()) }},
 	}
 }
 
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -4,23 +4,18 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"samphirehead/protocol/exchange"
 	"samphirehead/state/fault"
+	shared "samphirehead/transport/secret"
 )
 
 const (
-	secretHeader = "X-Samphirehead-Peer"
-	maxMessage   = 1 << 20
-	dialTimeout  = 300 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// swapTimeout bounds an exchange of states, fetchTimeout that of a copy.
 	swapTimeout  = 600 * time.Millisecond
 	fetchTimeout = 2 * time.Second
@@ -31,19 +26,7 @@
 // Handler serves other instances that know the secret. An empty secret admits
 // nobody.
 func Handler(secret string, service exchange.Exchange) http.Handler {
-	want := sha256.Sum256([]byte(secret))
-	server := exchange.NewExchangeServer(service)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
-		if secret == "" || subtle.ConstantTimeCompare(given[:], want[:]) != 1 {
-			// Nothing is read from whoever can't show the secret.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "peer secret missing or wrong"))
-			return
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxMessage)
-		server.ServeHTTP(w, r)
-	})
+	return shared.Guard(secret, exchange.NewExchangeServer(service))
 }
 
 // Client calls other instances. Its exported fields are set before first use.
@@ -77,18 +60,7 @@
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: idlePerPeer,
 		}
-		c.http = &http.Client{Transport: &authenticated{secret: c.Secret, next: transport}}
+		c.http = &http.Client{Transport: &shared.Shown{Secret: c.Secret, Next: transport}}
 	})
 	return exchange.NewExchangeProtobufClient("http://"+address, c.http)
 }
-
-type authenticated struct {
-	secret string
-	next   http.RoundTripper
-}
-
-func (a *authenticated) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
-	r.Header.Set(secretHeader, a.secret)
-	return a.next.RoundTrip(r)
-}
--- a/transport/peer/clients.go
+++ b/transport/peer/clients.go
@@ -15,6 +15,7 @@
 
 	"samphirehead/coordination/member"
 	"samphirehead/protocol/peer"
+	"samphirehead/transport/secret"
 )
 
 const (
@@ -118,7 +119,7 @@
 	if c.Wrap != nil {
 		tripper = c.Wrap(tripper)
 	}
-	tripper = &authenticated{secret: c.Secret, next: tripper}
+	tripper = &secret.Shown{Secret: c.Secret, Next: tripper}
 	c.waiting = &http.Client{Transport: tripper}
 	c.short = &http.Client{Transport: tripper, Timeout: callTimeout}
 }
@@ -149,17 +150,6 @@
 	return h.waiting.Reserve(ctx, r)
 }
 
-type authenticated struct {
-	secret string
-	next   http.RoundTripper
-}
-
-func (a *authenticated) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
-	r.Header.Set(secretHeader, a.secret)
-	return a.next.RoundTrip(r)
-}
-
 // EvidenceOf says what a failed call tells about its peer.
 func EvidenceOf(err error) member.Evidence {
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -1,20 +1,14 @@
 package peer
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"samphirehead/protocol/peer"
+	shared "samphirehead/transport/secret"
 )
 
 const (
-	secretHeader = "X-Samphirehead-Peer"
-	// maxMessage bounds a request body; a manifest travels in responses.
-	maxMessage        = 1 << 20
 	readHeaderTimeout = 5 * time.Second
 	// maxStreams bounds the waiting calls of one peer.
 	maxStreams = 16384
@@ -56,7 +50,7 @@
 	for _, one := range s.servers() {
 		mux.Handle(one.PathPrefix(), one)
 	}
-	return &guard{secret: sha256.Sum256([]byte(secret)), empty: secret == "", next: mux}
+	return shared.Guard(secret, mux)
 }
 
 // NewServer returns a server for handler that speaks HTTP/2 without TLS. The
@@ -73,23 +67,3 @@
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 }
-
-// guard compares digests, so that the time taken tells nothing of the secret
-// or its length.
-type guard struct {
-	secret [sha256.Size]byte
-	empty  bool
-	next   http.Handler
-}
-
-func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	given := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
-	if g.empty || subtle.ConstantTimeCompare(given[:], g.secret[:]) != 1 {
-		// Nothing is read from whoever can't show the secret.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-		_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "peer secret missing or wrong"))
-		return
-	}
-	r.Body = http.MaxBytesReader(w, r.Body, maxMessage)
-	g.next.ServeHTTP(w, r)
-}
