--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// CrashLimit is how many crashes quarantine a fingerprint.
+	// CrashLimit is how many crashes quarantine a fingerprint where the tracker
+	// names no other number.
 	CrashLimit = 2
 
 	defaultLifetime = 30 * time.Minute
@@ -104,6 +105,9 @@
 	// fingerprints, each; the least recently used is forgotten first. 0
 	// means 8,192.
 	Limit int
+	// Crashes is how many crashes quarantine a fingerprint; 0 means
+	// CrashLimit.
+	Crashes int
 
 	suspects    *simplelru.LRU[id.Fingerprint, []Record]
 	quarantined *simplelru.LRU[id.Fingerprint, []Record]
@@ -134,7 +138,7 @@
 func (t *Tracker) Verdict(now time.Time, f id.Fingerprint) Verdict {
 	t.init()
 	switch n := t.crashes(now, f); {
-	case n >= CrashLimit:
+	case n >= t.crashLimit():
 		return Quarantined
 	case n > 0:
 		return Suspected
@@ -152,7 +156,7 @@
 	if n == 0 && (f == 0 || t.proven.Contains(f)) {
 		return Unlimited
 	}
-	return max(0, CrashLimit-n)
+	return max(0, t.crashLimit()-n)
 }
 
 // Begun returns how many quarantines have begun so far.
@@ -206,7 +210,7 @@
 
 func (t *Tracker) add(now time.Time, r Record) []Effect {
 	f := r.Fingerprint
-	if _, ok := t.quarantined.Get(f); ok && t.crashes(now, f) >= CrashLimit {
+	if _, ok := t.quarantined.Get(f); ok && t.crashes(now, f) >= t.crashLimit() {
 		return nil
 	}
 	t.proven.Remove(f)
@@ -218,7 +222,7 @@
 		}
 	}
 	records = append(records, r)
-	if len(records) < CrashLimit {
+	if len(records) < t.crashLimit() {
 		t.suspects.Add(f, records)
 		return nil
 	}
@@ -239,7 +243,7 @@
 }
 
 func (t *Tracker) completed(now time.Time, f id.Fingerprint) {
-	if f == 0 || t.crashes(now, f) >= CrashLimit {
+	if f == 0 || t.crashes(now, f) >= t.crashLimit() {
 		return
 	}
 	t.suspects.Remove(f)
@@ -272,6 +276,13 @@
 	return append([]Record(nil), records...)
 }
 
+func (t *Tracker) crashLimit() int {
+	if t.Crashes > 0 {
+		return t.Crashes
+	}
+	return CrashLimit
+}
+
 func (t *Tracker) lifetime() time.Duration {
 	if t.Lifetime > 0 {
 		return t.Lifetime
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -1,6 +1,7 @@
 package suspect_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,3 +105,20 @@
 		}
 	}
 }
+
+// Pattern: several upstreams crash at one moment, and a request that goes on at
+// a second one meets two of the crashes. A tracker that waits for three keeps
+// it from no upstream.
+func TestLimitOfCrashes(t *testing.T) {
+	tracker := suspect.Tracker{Crashes: 3}
+	now := time.Unix(1000, 0)
+	for i, want := range []suspect.Verdict{suspect.Suspected, suspect.Suspected, suspect.Quarantined} {
+		tracker.Step(now, suspect.Crashed{
+			Upstream: id.Upstream(fmt.Sprint(i)),
+			InFlight: []suspect.InFlight{{Request: "r", Fingerprint: 7}},
+		})
+		if got := tracker.Verdict(now, 7); got != want {
+			t.Errorf("after %d crashes: %s, want %s", i+1, got, want)
+		}
+	}
+}
