choice: refuse bulk requests that would begin after their objective

The expected time is the reading ahead times what it was lately seen to be stretched by. Only bulk requests are refused, at once, with the time after which there is room; those that come back may wait 1.15 objectives, so that they go before newcomers.

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -40,6 +40,20 @@
 	Excluded []id.Upstream
 	// Only, unless empty, is the one upstream that may be chosen.
 	Only id.Upstream
+	// Returned requests were refused before; they go before newcomers.
+	Returned bool
+}
+
+// returnPatience is how many times its objective a request that came back may
+// take to begin, where a newcomer may take it once.
+const returnPatience = 1.15
+
+// patience is the time to begin from which a bulk request is refused.
+func (r Request) patience() time.Duration {
+	if r.Returned {
+		return time.Duration(returnPatience * float64(r.Objective))
+	}
+	return r.Objective
 }
 
 // Ticket numbers the requests of one entry.
@@ -52,6 +66,8 @@
 	Prefill id.Tokens
 	// Ahead is how many it is expected to read before.
 	Ahead id.Tokens
+	// Expected is the time to the first event or answer.
+	Expected time.Duration
 	// Rank is the place of the upstream in the order of affinity; 0 is the
 	// first.
 	Rank int
@@ -143,6 +159,9 @@
 	running   map[Ticket]*run
 	others    map[id.Instance]heard
 	lanes     lanes
+	// stretch is how many times as long as expected bulk requests take to
+	// begin behind others.
+	stretch float64
 }
 
 // upstream is what is known of one upstream.
@@ -208,6 +227,7 @@
 	c.byName = make(map[id.Upstream]*upstream)
 	c.running = make(map[Ticket]*run)
 	c.others = make(map[id.Instance]heard)
+	c.stretch = firstStretch
 }
 
 func (c *Chooser) configure(ev Configured) {
@@ -236,7 +256,11 @@
 	u.own.Prefill[r.urgency] -= r.prefill
 	u.fade(now)
 	u.own.Begun++
-	u.own.Pace += float64(now.Sub(r.chosen)) / float64(r.expected)
+	pace := float64(now.Sub(r.chosen)) / float64(r.expected)
+	u.own.Pace += pace
+	if r.kind == bulk && r.expected >= stretchFrom {
+		c.stretch += stretchStep * (min(pace, mostStretch) - c.stretch)
+	}
 }
 
 func (c *Chooser) end(now time.Time, ev Ended) {
@@ -310,13 +334,27 @@
 	return 1 - float64(taken)/float64(slots)
 }
 
-// Choose takes an upstream for a request and counts it as running there. It
-// returns false where no upstream is left.
-func (c *Chooser) Choose(now time.Time, r Request) (Choice, bool) {
+// Refusal says why no upstream was chosen.
+type Refusal string
+
+const (
+	// Chosen means that one was.
+	Chosen Refusal = ""
+	// NoUpstream means that none is left.
+	NoUpstream Refusal = "no_upstream"
+	// Overloaded means that the request would begin after its objective, and
+	// delay all that come after it.
+	Overloaded Refusal = "overloaded"
+)
+
+// Choose takes an upstream for a request and counts it as running there. With
+// Overloaded, Expected of the choice tells how long the request would have
+// waited.
+func (c *Chooser) Choose(now time.Time, r Request) (Choice, Refusal) {
 	c.init()
 	candidates := c.candidates(now, r)
 	if len(candidates) == 0 {
-		return Choice{}, false
+		return Choice{}, NoUpstream
 	}
 	var chosen Choice
 	var u *upstream
@@ -325,6 +363,10 @@
 		chosen.Entry = u.Entry
 	} else {
 		u, chosen = c.engine(now, r, candidates)
+		if chosen.kind == bulk && chosen.Expected > r.patience() {
+			return chosen, Overloaded
+		}
+		c.commit(now, r, u, chosen)
 	}
 	u.own.Running++
 	u.own.Memory += r.memory()
@@ -336,7 +378,7 @@
 		upstream: u, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind,
 		expected: usualDelay + reading(chosen.Ahead+chosen.Prefill), chosen: now,
 	}
-	return chosen, true
+	return chosen, Chosen
 }
 
 // candidates returns the upstreams that are not excluded. Ejected ones are
--- a/coordination/choice/choice_test.go
+++ b/coordination/choice/choice_test.go
@@ -63,8 +63,8 @@
 	var n tickets
 	count := map[id.Upstream]int{}
 	for range 6 {
-		got, ok := c.Choose(start, choice.Request{Ticket: n.next()})
-		if !ok {
+		got, refusal := c.Choose(start, choice.Request{Ticket: n.next()})
+		if refusal != choice.Chosen {
 			t.Fatal("no upstream")
 		}
 		count[got.Upstream]++
@@ -93,7 +93,7 @@
 	if got, _ := c.Choose(start, choice.Request{Ticket: 1, Excluded: []id.Upstream{"u00"}}); got.Upstream != "u01" {
 		t.Errorf("chose %s", got.Upstream)
 	}
-	if _, ok := c.Choose(start, choice.Request{Ticket: 2, Excluded: []id.Upstream{"u00", "u01"}}); ok {
+	if _, refusal := c.Choose(start, choice.Request{Ticket: 2, Excluded: []id.Upstream{"u00", "u01"}}); refusal != choice.NoUpstream {
 		t.Error("chose an excluded upstream")
 	}
 }
@@ -130,7 +130,7 @@
 	c := chooser(1, 0)
 	c.Choose(start, choice.Request{Ticket: 1})
 	c.Step(start, choice.Ended{Ticket: 1, Unreached: true})
-	if _, ok := c.Choose(start, choice.Request{Ticket: 2}); !ok {
+	if _, refusal := c.Choose(start, choice.Request{Ticket: 2}); refusal != choice.Chosen {
 		t.Error("no upstream, though one is known")
 	}
 }
@@ -245,7 +245,7 @@
 func TestOneEngineRunsAll(t *testing.T) {
 	c := chooser(1, 240_000)
 	for ticket, objective := range map[choice.Ticket]time.Duration{1: long, 2: tightest} {
-		if _, ok := c.Choose(start, choice.Request{Ticket: ticket, Parts: prompt(1), Objective: objective}); !ok {
+		if _, refusal := c.Choose(start, choice.Request{Ticket: ticket, Parts: prompt(1), Objective: objective}); refusal != choice.Chosen {
 			t.Errorf("no engine for an objective of %s", objective)
 		}
 	}
@@ -338,3 +338,35 @@
 		t.Errorf("an upstream that is fast again got %.2f of the requests", got)
 	}
 }
+
+// Pattern: bulk requests come faster than the engines read. Those that would
+// begin after their objective are refused at once; the others begin in time,
+// those that come back are taken, and urgent requests are never refused.
+func TestOverloadRefusesBulkOnly(t *testing.T) {
+	c := chooser(4, 240_000)
+	var n tickets
+	refused := 0
+	for i := range 200 {
+		got, refusal := c.Choose(start, choice.Request{Ticket: n.next(), Parts: prompt(i), Objective: long, Pause: time.Second, Urgency: 2})
+		if refusal == choice.Chosen && got.Expected > long {
+			t.Fatalf("request %d was taken though it is expected to begin after %s", i, got.Expected)
+		}
+		if refusal == choice.Overloaded {
+			refused++
+		}
+	}
+	if refused == 0 || refused == 200 {
+		t.Fatalf("%d of 200 refused", refused)
+	}
+	if _, refusal := c.Choose(start, choice.Request{Ticket: n.next(), Parts: prompt(1), Objective: long, Urgency: 2, Returned: true}); refusal != choice.Chosen {
+		t.Errorf("a request that came back: %s", refusal)
+	}
+	for range 50 {
+		_, refusal := c.Choose(start, choice.Request{
+			Ticket: n.next(), Parts: []choice.Part{{Name: "a", Tokens: 500}}, Objective: tightest, Pause: 120 * time.Millisecond,
+		})
+		if refusal != choice.Chosen {
+			t.Errorf("an urgent stream: %s", refusal)
+		}
+	}
+}
--- a/coordination/choice/engine.go
+++ b/coordination/choice/engine.go
@@ -46,12 +46,20 @@
 		// The lane is full: anywhere is better than after the objective.
 		best, choice, _ = c.cheapest(now, r, kind, slices.Clone(candidates))
 	}
-	best.cache.add(r.Parts, c.service.Engine.KVTokens)
-	if kind == sensitive {
+	choice.Expected = usualDelay + reading(choice.Ahead+choice.Prefill)
+	if kind == bulk {
+		choice.Expected = time.Duration(c.stretch * float64(choice.Expected))
+	}
+	return best, choice
+}
+
+// commit notes that a request goes to an engine.
+func (c *Chooser) commit(now time.Time, r Request, u *upstream, choice Choice) {
+	u.cache.add(r.Parts, c.service.Engine.KVTokens)
+	if choice.kind == sensitive {
 		c.lanes.decay(now)
 		c.lanes.reading += reading(choice.Prefill).Seconds()
 	}
-	return best, choice
 }
 
 // cheapest returns the engine of least cost, and that cost.
--- a/coordination/choice/health.go
+++ b/coordination/choice/health.go
@@ -30,6 +30,13 @@
 	enoughBegun = 5
 	slowRatio   = 3
 	mostSlow    = 20
+
+	// The stretch is learned from runs that were expected to wait for
+	// stretchFrom or more.
+	stretchFrom  = 150 * time.Millisecond
+	stretchStep  = 0.05
+	firstStretch = 1.3
+	mostStretch  = 3
 )
 
 // fade lets the counts of ended runs fade.
