router: log each decision once, tell metrics by route and workspace

Lines: sent for each attempt, then answered or ended; every key is in the manual (a test reads the sources), and no key, prompt or answer is logged (a test looks for them). Metrics by expvar with histograms by route and workspace.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -12,6 +12,8 @@
 	"samphirehead/coordination/choice"
 	"samphirehead/coordination/suspect"
 	"samphirehead/protocol/call"
+	"samphirehead/state/id"
+	"samphirehead/state/metrics"
 	"samphirehead/state/routing"
 	"samphirehead/transport/forward"
 )
@@ -49,7 +51,7 @@
 	for {
 		a, result, err := j.try(ctx, "")
 		if a == nil {
-			j.finish(ctx, noUpstream)
+			j.finish(ctx, reason(j.refusal))
 			return
 		}
 		if result == answered {
@@ -57,8 +59,7 @@
 			return
 		}
 		again := ctx.Err() == nil && j.again(result)
-		klog.InfoS("attempt failed", "request", j.ID, "upstream", a.Upstream, "outcome", result,
-			"status", a.status(), "after", time.Since(a.sent), "again", again, "err", err)
+		j.attemptFailed(a, result, again, err)
 		if again {
 			continue
 		}
@@ -74,6 +75,11 @@
 	}
 }
 
+func (j *job) attemptFailed(a *attempt, result outcome, again bool, err error) {
+	klog.InfoS("attempt failed", "request", j.ID, "upstream", a.Upstream, "outcome", result,
+		"status", a.status(), "after", time.Since(a.sent), "again", again, "err", err)
+}
+
 func (a *attempt) status() int {
 	if a.response == nil {
 		return 0
@@ -89,14 +95,16 @@
 	if j.ran >= j.route.MaxAttempts || len(j.tried) >= j.route.MaxAttempts+extraAttempts {
 		return false
 	}
-	return j.mayRepeat()
+	return !j.quarantined() && j.mayRepeat()
 }
 
 // finish answers a request that has no upstream's answer.
 func (j *job) finish(ctx context.Context, why reason) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		klog.InfoS("caller left", "request", j.ID, "after", time.Since(j.arrived), "tried", j.tried)
+		j.ended(metrics.Unknown, callerLeft)
+	case j.ran == 0 && ctx.Err() == nil && why == overloaded:
+		j.answerLater(min(max(j.expected-j.route.Objective, later), muchLater), why)
 	case j.ran == 0 && ctx.Err() == nil:
 		j.answerLater(later, why)
 	case ctx.Err() != nil:
@@ -109,8 +117,9 @@
 // try sends the request to one upstream and reads its answer up to the first
 // event of a stream. The attempt is nil where no upstream is left.
 func (j *job) try(ctx context.Context, lastEvent string) (*attempt, outcome, error) {
-	chosen, ticket, ok := j.choose()
-	if !ok {
+	chosen, ticket, refusal := j.choose()
+	if refusal != choice.Chosen {
+		j.refusal, j.expected = refusal, chosen.Expected
 		return nil, rejected, nil
 	}
 	a := &attempt{Choice: chosen, ticket: ticket, sent: time.Now()}
@@ -124,6 +133,9 @@
 		LastEvent: lastEvent,
 		Once:      j.route.Repeat == routing.AtMostOnce && !j.route.Streaming,
 	}
+	klog.InfoS("sent", "request", j.ID, "route", j.route.Name, "workspace", send.Workspace, "version", j.version,
+		"upstream", a.Upstream, "attempt", len(j.tried), "urgency", send.Urgency, "left", send.Budget,
+		"rank", a.Rank, "prefill", a.Prefill, "ahead", a.Ahead)
 	response, err := j.router.forward.Send(ctx, j.Request, send)
 	if err != nil {
 		result := failed
@@ -220,7 +232,7 @@
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	j.w.WriteHeader(a.response.Status)
 	_, err := j.w.Write(a.body)
-	j.completed(a, err)
+	j.completed(a, nil, err)
 }
 
 // writeHead sets the header of the upstream's answer.
@@ -232,15 +244,31 @@
 	}
 }
 
-// completed notes that the caller has its answer.
-func (j *job) completed(a *attempt, err error) {
+// completed notes that the caller has its answer. p is nil for an answer that
+// does not stream.
+func (j *job) completed(a *attempt, p *progress, err error) {
 	r := j.router
 	if a.response.Status < 300 {
 		r.mu.Lock()
 		r.suspects.Step(time.Now(), suspect.Completed{Fingerprint: j.digest})
 		r.mu.Unlock()
 	}
-	klog.InfoS("answered", "request", j.ID, "route", j.route.Name, "workspace", j.workspaceName(),
-		"upstream", a.Upstream, "status", a.response.Status, "tried", len(j.tried),
-		"after", time.Since(j.arrived), "err", err)
+	after := time.Since(j.arrived)
+	seen := metrics.Observation{
+		Class: id.Class(j.route.Name), Workspace: j.workspaceName(), Outcome: metrics.Completed,
+		QueueWait: -1, FirstToken: after, Attained: after <= j.route.Objective,
+	}
+	fields := []any{
+		"request", j.ID, "route", j.route.Name, "workspace", j.workspaceName(), "upstream", a.Upstream,
+		"status", a.response.Status, "attempts", len(j.tried), "after", after, "err", err,
+	}
+	if p != nil {
+		first := p.first.Sub(j.arrived)
+		seen.FirstToken = first
+		seen.Attained = first <= j.route.Objective && (j.route.PauseObjective <= 0 || p.longest <= j.route.PauseObjective)
+		fields = append(fields, "first", first, "pause", p.longest, "events", p.events)
+		r.metrics.Gap(seen.Class, p.longest)
+	}
+	r.metrics.Observe(seen)
+	klog.InfoS("answered", fields...)
 }
--- a/router/leaving.go
+++ b/router/leaving.go
@@ -54,7 +54,7 @@
 		r.leaving.since.Store(&now)
 		close(r.leaving.asked)
 		r.leaving.announced <- struct{}{}
-		klog.InfoS("leaving", "instance", r.Settings.Instance, "in_flight", r.inFlight.Load())
+		klog.InfoS("leaving", "in_flight", r.inFlight.Load())
 	})
 }
 
--- /dev/null
+++ b/router/logs_test.go
@@ -0,0 +1,131 @@
+package router_test
+
+import (
+	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"samphirehead/commands"
+	"samphirehead/platform/platformtest"
+	"samphirehead/state/settings"
+)
+
+// Every line and every key that the router logs has its entry in the manual.
+func TestLogLinesAreInTheManual(t *testing.T) {
+	manual, err := os.ReadFile("../docs/man/logs.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			for _, word := range logWords(call) {
+				found++
+				if !bytes.Contains(manual, []byte("`"+word+"`")) {
+					t.Errorf("%s: docs/man/logs.md lacks `%s`", name, word)
+				}
+			}
+			return true
+		})
+	}
+	if found < 30 {
+		t.Errorf("found only %d messages and keys", found)
+	}
+}
+
+// logWords returns the message and the keys of a call of klog.
+func logWords(call *ast.CallExpr) []string {
+	function, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return nil
+	}
+	first := map[string]int{"InfoS": 0, "ErrorS": 1}
+	message, known := first[function.Sel.Name]
+	if !known {
+		return nil
+	}
+	var words []string
+	for i := message; i < len(call.Args); i++ {
+		// The message comes first, then keys and values in turn.
+		if i > message && (i-message)%2 == 0 {
+			continue
+		}
+		if literal, ok := call.Args[i].(*ast.BasicLit); ok {
+			word, err := strconv.Unquote(literal.Value)
+			if err == nil {
+				words = append(words, word)
+			}
+		}
+	}
+	return words
+}
+
+// safeBuffer is written to by the goroutines of a router.
+type safeBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *safeBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.String()
+}
+
+// Keys, prompts and answers are not logged, at any level.
+func TestSecretsAreNotLogged(t *testing.T) {
+	var logged safeBuffer
+	commands.SetLogging(&logged, settings.LogDebug, "instance", "i0")
+	defer commands.SetLogging(os.Stderr, settings.LogInfo)
+	for _, behave := range []behaviour{nil, platformtest.Cut, platformtest.Fail, platformtest.Events(3, 2)} {
+		u := &platformtest.Upstream{Behave: behave}
+		s := newSystem(t, 1, u)
+		s.usable(s.routers[0], 1)
+		for _, path := range []string{"/safe/x", "/stream/x", "/nowhere/x"} {
+			s.post(path, "the secret prompt")
+		}
+		request := s.request(t.Context(), s.routers[0], "/safe/x", "the secret prompt")
+		request.Header.Set("X-Samphirehead-Key", "wrong-"+key)
+		if got := s.do(request); got.status != http.StatusUnauthorized {
+			t.Errorf("answer %+v", got)
+		}
+	}
+	text := logged.text()
+	if !strings.Contains(text, `"msg":"ended"`) || !strings.Contains(text, `"msg":"answered"`) {
+		t.Fatal("the requests were not logged")
+	}
+	for _, secret := range []string{key, "secret prompt", "token 1", `"secret"`} {
+		if strings.Contains(text, secret) {
+			t.Errorf("%q was logged", secret)
+		}
+	}
+}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -1,48 +1,70 @@
 package router
 
 import (
-	"encoding/json"
+	"expvar"
+	"fmt"
 	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"samphirehead/state/id"
 )
 
-// metricsHandler serves the metrics to operators.
+// metricsHandler serves the metrics of this instance, and those of the runtime,
+// as one JSON object.
 func (r *Router) metricsHandler() http.Handler {
+	vars := new(expvar.Map).Init()
+	vars.Set("requests", r.metrics.Var())
+	vars.Set("router", expvar.Func(func() any { return r.status() }))
+	expvar.Do(func(kv expvar.KeyValue) { vars.Set(kv.Key, kv.Value) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(r.status()); err != nil {
+		if _, err := fmt.Fprintln(w, vars.String()); err != nil {
 			klog.V(1).InfoS("metrics not written", "err", err)
 		}
 	})
 	return mux
 }
 
-// status is what the metrics tell beside the counters.
-func (r *Router) status() any {
+// status is what the metrics tell of the instance itself.
+type status struct {
+	RoutesVersion   id.ManifestVersion `json:"routes_version"`
+	PlatformReached map[string]bool    `json:"platform_reached"`
+	Live            int                `json:"instances_live"`
+	Upstreams       int                `json:"upstreams_usable"`
+	// Ejected has the milliseconds for which upstreams are kept away from.
+	Ejected         map[id.Upstream]int64 `json:"upstreams_ejected_ms"`
+	Quarantines     int                   `json:"quarantines"`
+	InFlight        int64                 `json:"requests_in_flight"`
+	Leaving         bool                  `json:"leaving"`
+	LogLinesDropped int64                 `json:"log_lines_dropped"`
+}
+
+func (r *Router) status() status {
 	now := time.Now()
 	table := r.table.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := struct {
-		Version         uint64          `json:"routes_version"`
-		PlatformReached map[string]bool `json:"platform_reached"`
-		Live            int             `json:"instances_live"`
-		Upstreams       int             `json:"upstreams_usable"`
-		InFlight        int64           `json:"requests_in_flight"`
-		LogLinesDropped int64           `json:"log_lines_dropped"`
-	}{
+	out := status{
 		PlatformReached: map[string]bool{
 			r.routes.name: r.routes.reached.Load(), r.upstreams.name: r.upstreams.reached.Load(),
 		},
-		Live:      len(r.pulse.Live(now)),
-		Upstreams: len(r.pools.known),
-		InFlight:  r.inFlight.Load(),
+		Live:        len(r.pulse.Live(now)),
+		Upstreams:   len(r.pools.known),
+		Ejected:     make(map[id.Upstream]int64),
+		Quarantines: r.suspects.Begun(),
+		InFlight:    r.inFlight.Load(),
+		Leaving:     r.leaving.begun(),
+	}
+	for _, c := range r.pools.choosers {
+		for upstream, left := range c.Ejected(now) {
+			out.Ejected[upstream] = left.Milliseconds()
+		}
 	}
 	if table != nil {
-		out.Version = uint64(table.Version)
+		out.RoutesVersion = table.Version
 	}
 	if r.Dropped != nil {
 		out.LogLinesDropped = r.Dropped()
--- a/router/peers.go
+++ b/router/peers.go
@@ -163,6 +163,7 @@
 		}
 	}
 	s.Crashes = r.crashReports(now)
+	s.Refused = r.returns.tell(now)
 	return s
 }
 
@@ -195,6 +196,7 @@
 	}
 	r.pulse.Step(now, heard)
 	r.hearLoads(now, s)
+	r.returns.hear(s.Refused)
 	for _, t := range s.Tables {
 		if t.Name == r.upstreams.name && t.Reached {
 			r.upstreams.peerReached = now
--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,7 @@
 	"samphirehead/state/mirror"
 	"samphirehead/state/routing"
 	"samphirehead/state/settings"
+	"samphirehead/state/task"
 	"samphirehead/transport/exchange"
 	"samphirehead/transport/forward"
 )
@@ -84,6 +85,7 @@
 	// crashes holds those to be told to the others, the newest last.
 	crashes []suspect.Record
 	tickets uint64
+	returns returns
 
 	inFlight atomic.Int64
 	leaving  leaving
@@ -125,6 +127,10 @@
 	maxHeader     = 64 << 10
 	// registryInterval is how often lapsed upstreams are looked for.
 	registryInterval = 200 * time.Millisecond
+	// crashLimit is how many upstreams a request may crash before it is kept
+	// from all. A request that goes on elsewhere may meet two that crash at
+	// one moment.
+	crashLimit = 3
 	// closeTime bounds the end of the listeners.
 	closeTime = 300 * time.Millisecond
 )
@@ -134,6 +140,10 @@
 	r.forward = &forward.Client{Dialect: r.Dialect}
 	r.peers = &exchange.Client{Secret: r.Settings.PeerSecret.Reveal()}
 	r.routes.name, r.upstreams.name = r.Platform.Tables()
+	if err := r.returns.init(); err != nil {
+		return err
+	}
+	r.suspects.Crashes = crashLimit
 	r.applyRetries(r.Settings)
 	r.leaving.init(r.Settings.Grace)
 	if err := r.listen(); err != nil {
@@ -206,48 +216,30 @@
 	r.mu.Lock()
 	r.pulse.Step(time.Now(), pulse.Named{Addresses: s.Seeds})
 	r.mu.Unlock()
-	klog.InfoS("settings reloaded", "instance", s.Instance)
-}
-
-// task is a part that runs until its context ends.
-type task struct {
-	name string
-	run  func(context.Context) error
+	klog.InfoS("settings reloaded", "retry_ratio", s.Retries.Ratio, "retry_slack", s.Retries.Slack)
 }
 
 // Run serves until ctx ends or the instance has left. It returns the first
 // error of any part.
 func (r *Router) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	tasks := r.tasks()
-	ended := make(chan error, len(tasks))
-	for _, t := range tasks {
-		go func() { ended <- fault.At("run "+t.name, "", t.run(ctx)) }()
-	}
-	klog.InfoS("started", "instance", r.Settings.Instance, "failure_domain", r.Settings.FailureDomain,
-		"callers", r.Addr(Callers), "peers", r.Addr(Peers))
-	var first error
-	for range tasks {
-		first = errors.CombineErrors(first, <-ended)
-		// The end of any part, also of the leaving, ends the others.
-		cancel()
-	}
-	klog.InfoS("stopped", "instance", r.Settings.Instance, "in_flight", r.inFlight.Load())
-	return first
+	klog.InfoS("started", "failure_domain", r.Settings.FailureDomain, "callers", r.Addr(Callers), "peers", r.Addr(Peers))
+	// The end of any part, also of the leaving, ends the others.
+	err := task.Run(ctx, r.tasks())
+	klog.InfoS("stopped", "in_flight", r.inFlight.Load())
+	return err
 }
 
-func (r *Router) tasks() []task {
-	tasks := []task{
-		{"routes", func(ctx context.Context) error { return r.watch(ctx, &r.routes) }},
-		{"upstreams", func(ctx context.Context) error { return r.watch(ctx, &r.upstreams) }},
-		{"tables", r.applyTables},
-		{"exchange", r.exchange},
-		{"announcement", r.announce},
-		{"leaving", r.leave},
+func (r *Router) tasks() []task.Task {
+	tasks := []task.Task{
+		{Name: "routes", Run: func(ctx context.Context) error { return r.watch(ctx, &r.routes) }},
+		{Name: "upstreams", Run: func(ctx context.Context) error { return r.watch(ctx, &r.upstreams) }},
+		{Name: "tables", Run: r.applyTables},
+		{Name: "exchange", Run: r.exchange},
+		{Name: "announcement", Run: r.announce},
+		{Name: "leaving", Run: r.leave},
 	}
 	for side, l := range r.listeners {
-		tasks = append(tasks, task{"listener for " + string(side), func(ctx context.Context) error { return serve(ctx, l) }})
+		tasks = append(tasks, task.Task{Name: "listener for " + string(side), Run: func(ctx context.Context) error { return serve(ctx, l) }})
 	}
 	return tasks
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -15,6 +15,7 @@
 	"samphirehead/coordination/suspect"
 	"samphirehead/protocol/call"
 	"samphirehead/state/id"
+	"samphirehead/state/metrics"
 	"samphirehead/state/routing"
 )
 
@@ -46,6 +47,7 @@
 	instanceLeave reason = "instance_leaving"
 	quarantined   reason = "quarantined"
 	noUpstream    reason = "no_upstream"
+	overloaded    reason = "overloaded"
 	notRun        reason = "not_run"
 	timedOut      reason = "timed_out"
 	unknown       reason = "outcome_unknown"
@@ -68,6 +70,12 @@
 	tried []id.Upstream
 	// ran counts the upstreams that may have run it.
 	ran int
+	// refusal is why no upstream was chosen last, and expected how long the
+	// request would have waited.
+	refusal  choice.Refusal
+	expected time.Duration
+	// status is that of an answer of the router's own; 0 where it gave none.
+	status int
 	// version is that of the routing table.
 	version id.ManifestVersion
 }
@@ -119,14 +127,21 @@
 	}
 	j.digest = r.Dialect.Digest(read)
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.share.Arrived(j.arrived, j.service)
-	if r.suspects.Verdict(j.arrived, j.digest) == suspect.Quarantined {
+	r.mu.Unlock()
+	if j.quarantined() {
 		return j, quarantined
 	}
 	return j, ""
 }
 
+// quarantined reports whether the request has crashed too many upstreams.
+func (j *job) quarantined() bool {
+	j.router.mu.Lock()
+	defer j.router.mu.Unlock()
+	return j.router.suspects.Verdict(time.Now(), j.digest) == suspect.Quarantined
+}
+
 // patience is how long the caller is kept waiting at most.
 func (j *job) patience() time.Duration {
 	switch {
@@ -199,12 +214,28 @@
 
 // answer ends a request with a status of the router's own.
 func (j *job) answer(status int, why reason) {
-	j.router.metrics.Add("answers_"+string(why), 1)
-	klog.InfoS("refused", "request", j.ID, "status", status, "reason", why, "route", j.routeName(),
-		"workspace", j.workspaceName(), "tried", j.tried, "ran", j.ran, "after", time.Since(j.arrived))
+	outcome := metrics.Unknown
+	if j.ran == 0 {
+		outcome = metrics.NotRun
+	}
+	j.status = status
+	j.ended(outcome, why)
 	j.w.WriteHeader(status)
 }
 
+// ended notes the end of a request that has no whole answer of an upstream.
+func (j *job) ended(outcome metrics.Outcome, why reason) {
+	m := &j.router.metrics
+	m.Add("ended_"+string(why), 1)
+	if j.route != nil {
+		m.Observe(metrics.Observation{
+			Class: id.Class(j.route.Name), Workspace: j.workspaceName(), Outcome: outcome, QueueWait: -1, FirstToken: -1,
+		})
+	}
+	klog.InfoS("ended", "request", j.ID, "status", j.status, "reason", why, "outcome", outcome, "route", j.routeName(),
+		"workspace", j.workspaceName(), "attempts", len(j.tried), "ran", j.ran, "after", time.Since(j.arrived))
+}
+
 func (j *job) routeName() string {
 	if j.route == nil {
 		return ""
@@ -225,27 +256,31 @@
 }
 
 // choose takes an upstream for the next attempt.
-func (j *job) choose() (choice.Choice, choice.Ticket, bool) {
+func (j *job) choose() (choice.Choice, choice.Ticket, choice.Refusal) {
 	r := j.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	chooser, ok := r.pools.choosers[j.service]
 	if !ok {
-		return choice.Choice{}, 0, false
+		return choice.Choice{}, 0, choice.NoUpstream
 	}
 	r.tickets++
 	ticket := choice.Ticket(r.tickets)
-	chosen, ok := chooser.Choose(time.Now(), choice.Request{
+	chosen, refusal := chooser.Choose(time.Now(), choice.Request{
 		Ticket:    ticket,
 		Parts:     j.Parts,
 		Objective: j.route.Objective,
 		Pause:     j.route.PauseObjective,
 		Urgency:   j.urgency(),
 		Excluded:  j.tried,
+		Returned:  len(j.tried) > 0 || r.returns.returned(j.digest),
 
 		OutputTokens: j.OutputTokens,
 	})
-	return chosen, ticket, ok
+	if refusal == choice.Overloaded {
+		r.returns.refuse(time.Now(), j.digest)
+	}
+	return chosen, ticket, refusal
 }
 
 // mayRepeat spends one repeat of the service's budget.
--- a/router/stream.go
+++ b/router/stream.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/choice"
+	"samphirehead/state/metrics"
 	"samphirehead/transport/forward"
 )
 
@@ -23,8 +24,7 @@
 		if err == nil {
 			j.router.step(j.service, choice.Paused{Ticket: a.ticket, Longest: p.longest})
 			j.router.step(j.service, choice.Ended{Ticket: a.ticket})
-			j.observe(a, p)
-			j.completed(a, nil)
+			j.completed(a, p, nil)
 			return
 		}
 		broke := ctx.Err() == nil && !p.callerLost
@@ -42,7 +42,14 @@
 		j.finish(ctx, brokenStream)
 		return
 	}
-	j.router.metrics.Add("answers_"+string(brokenStream), 1)
+	why := brokenStream
+	switch {
+	case p.callerLost || errors.Is(ctx.Err(), context.Canceled):
+		why = callerLeft
+	case ctx.Err() != nil:
+		why = timedOut
+	}
+	j.ended(metrics.Unknown, why)
 	panic(http.ErrAbortHandler)
 }
 
@@ -128,14 +135,7 @@
 			klog.InfoS("stream resumed", "request", j.ID, "upstream", a.Upstream, "last", p.last)
 			return a
 		}
-		klog.InfoS("attempt failed", "request", j.ID, "upstream", a.Upstream, "outcome", result, "err", err)
+		j.attemptFailed(a, result, false, err)
 	}
 	return nil
 }
-
-// observe logs how the upstream did against what was expected.
-func (j *job) observe(a *attempt, p *progress) {
-	klog.InfoS("streamed", "request", j.ID, "route", j.route.Name, "upstream", a.Upstream,
-		"rank", a.Rank, "prefill", a.Prefill, "ahead", a.Ahead,
-		"first", p.first.Sub(j.arrived), "pause", p.longest, "events", p.events, "whole", time.Since(j.arrived))
-}
