choice: add up the loads of the others once

Cause: each choice added the loads of all instances for each upstream, and for slowness again for each pair of upstreams: 90 engines and 28 other instances would have cost some 100,000 look-ups a request.

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -78,73 +78,13 @@
 // Urgencies is the number of urgencies that engines tell apart.
 const Urgencies = 10
 
-// Load is what one entry has in progress at an upstream.
-type Load struct {
-	Running int
-	// Prefill is what is still to be read, by urgency.
-	Prefill [Urgencies]id.Tokens
-	// Sensitive counts the streams that reading beside them delays too much.
-	Sensitive int
-	// Memory is what the runs hold for themselves.
-	Memory id.Tokens
-	// Ended and Failed count the runs that ended lately, fading.
-	Ended, Failed float64
-	// Begun counts the runs that began lately, fading, and Pace adds up how
-	// many times as long as expected that took.
-	Begun, Pace float64
-}
-
-// Event is one input of the chooser.
-type Event interface{ event() }
-
-// Configured sets the service and its usable upstreams.
-type Configured struct {
-	Service   routing.Service
-	Upstreams []registry.Entry
-	// Tightest is the shortest objective of a streaming route of the service.
-	Tightest time.Duration
-}
-
-// Started reports the first byte of an answer.
-type Started struct{ Ticket Ticket }
-
-// Paused reports the longest pause of a stream.
-type Paused struct {
-	Ticket  Ticket
-	Longest time.Duration
-}
-
-// Ended reports that a request no longer runs. Failed is set when the upstream
-// broke it off or gave no answer, Unreached when it could not be connected to.
-type Ended struct {
-	Ticket    Ticket
-	Failed    bool
-	Unreached bool
-}
-
-// Heard brings the load and the demand of another instance.
-type Heard struct {
-	Instance id.Instance
-	Loads    map[id.Upstream]Load
-	// Demand is that of Demand.
-	Demand float64
-}
-
-// Warned reports that another instance keeps away from an upstream.
-type Warned struct {
-	Upstream id.Upstream
-	For      time.Duration
-}
-
-func (Configured) event() {}
-func (Started) event()    {}
-func (Paused) event()     {}
-func (Ended) event()      {}
-func (Heard) event()      {}
-func (Warned) event()     {}
-
-// heardFor is how long the load of another instance counts.
-const heardFor = time.Second
+const (
+	// heardFor is how long the load of another instance counts.
+	heardFor = time.Second
+	// addInterval is how often the loads of the others are added up, beside
+	// each time that one is heard.
+	addInterval = 100 * time.Millisecond
+)
 
 // Chooser chooses among the upstreams of one service. Its exported fields are
 // set before the first Step. It is not safe for concurrent use.
@@ -158,7 +98,9 @@
 	byName    map[id.Upstream]*upstream
 	running   map[Ticket]*run
 	others    map[id.Instance]heard
-	lanes     lanes
+	// addedAt is when the loads of the others were added up.
+	addedAt time.Time
+	lanes   lanes
 	// stretch is how many times as long as expected bulk requests take to
 	// begin behind others.
 	stretch float64
@@ -167,8 +109,10 @@
 // upstream is what is known of one upstream.
 type upstream struct {
 	registry.Entry
-	own   Load
-	cache cache
+	own Load
+	// others is what the other entries have in progress.
+	others Load
+	cache  cache
 	// failures counts those in a row.
 	failures     int
 	ejectedUntil time.Time
@@ -213,6 +157,7 @@
 		c.end(now, ev)
 	case Heard:
 		c.others[ev.Instance] = heard{Heard: ev, at: now}
+		c.addedAt = time.Time{}
 	case Warned:
 		if u, ok := c.byName[ev.Upstream]; ok {
 			u.warnedUntil = now.Add(min(ev.For, longestEjection))
@@ -244,6 +189,7 @@
 		c.upstreams = append(c.upstreams, u)
 	}
 	c.byName = byName
+	c.addedAt = time.Time{}
 }
 
 func (c *Chooser) start(now time.Time, ticket Ticket) {
@@ -306,34 +252,6 @@
 	return ejected
 }
 
-// Loads returns what this entry has in progress, and how its runs ended.
-func (c *Chooser) Loads(now time.Time) map[id.Upstream]Load {
-	loads := make(map[id.Upstream]Load)
-	for _, u := range c.upstreams {
-		u.fade(now)
-		if u.own.Running > 0 || u.own.Ended > leastCount {
-			loads[u.Upstream] = u.own
-		}
-	}
-	return loads
-}
-
-// Free returns the share of the places of all upstreams that are free.
-func (c *Chooser) Free(now time.Time) float64 {
-	slots, taken := 0, 0
-	for _, u := range c.upstreams {
-		if u.away(now) {
-			continue
-		}
-		slots += u.Slots
-		taken += min(c.load(now, u).Running, u.Slots)
-	}
-	if slots == 0 {
-		return 0
-	}
-	return 1 - float64(taken)/float64(slots)
-}
-
 // Refusal says why no upstream was chosen.
 type Refusal string
 
@@ -400,35 +318,13 @@
 	return ejected
 }
 
-// load adds up what all entries have in progress at an upstream.
-func (c *Chooser) load(now time.Time, u *upstream) Load {
-	u.fade(now)
-	total := u.own
-	for _, h := range c.others {
-		if now.Sub(h.at) > heardFor {
-			continue
-		}
-		l := h.Loads[u.Upstream]
-		total.Running += l.Running
-		for urgency, tokens := range l.Prefill {
-			total.Prefill[urgency] += tokens
-		}
-		total.Sensitive += l.Sensitive
-		total.Memory += l.Memory
-		total.Ended += l.Ended
-		total.Failed += l.Failed
-		total.Begun += l.Begun
-		total.Pace += l.Pace
-	}
-	return total
-}
-
 // leastLoaded returns the candidate with the least work in progress, more where
 // it is slow; among equal ones the one that began the fewest lately, so that all
 // can be compared.
 func (c *Chooser) leastLoaded(now time.Time, candidates []*upstream) *upstream {
+	total := c.total(now)
 	return slices.MinFunc(candidates, func(a, b *upstream) int {
-		la, lb := c.work(now, a), c.work(now, b)
+		la, lb := c.work(now, a, total), c.work(now, b, total)
 		if la != lb {
 			return cmp.Compare(la, lb)
 		}
@@ -439,8 +335,11 @@
 	})
 }
 
-func (c *Chooser) work(now time.Time, u *upstream) float64 {
-	return float64(c.load(now, u).Running+1) * c.slowness(now, u)
+// work is what an upstream has in progress with one more request, more where it
+// is slow.
+func (c *Chooser) work(now time.Time, u *upstream, total Load) float64 {
+	load := c.load(now, u)
+	return float64(load.Running+1) * load.slowness(total)
 }
 
 func (c *Chooser) far(u *upstream) int {
--- a/coordination/choice/engine.go
+++ b/coordination/choice/engine.go
@@ -66,6 +66,7 @@
 func (c *Chooser) cheapest(now time.Time, r Request, k kind, engines []*upstream) (*upstream, Choice, time.Duration) {
 	key := affinity(r.Parts)
 	slices.SortFunc(engines, func(a, b *upstream) int { return cmp.Compare(b.score(key), a.score(key)) })
+	total := c.total(now)
 	var best *upstream
 	var choice Choice
 	least := time.Duration(0)
@@ -73,7 +74,7 @@
 		load := c.load(now, u)
 		ahead := load.ahead(r.Urgency)
 		prefill := u.cache.missing(r.Parts, rank == 0)
-		slow := c.slowness(now, u)
+		slow := load.slowness(total)
 		cost := time.Duration(slow*float64(reading(ahead)+readingWeight*reading(prefill))) +
 			time.Duration((slow-1)*float64(slowPenalty)) +
 			time.Duration(rank)*rankPenalty +
--- a/coordination/choice/health.go
+++ b/coordination/choice/health.go
@@ -58,37 +58,19 @@
 	if load.Ended < enoughRuns || load.Failed < failingShare*load.Ended {
 		return false
 	}
-	ended, failed := 0.0, 0.0
-	for _, other := range c.upstreams {
-		if other == u {
-			continue
-		}
-		l := c.load(now, other)
-		ended += l.Ended
-		failed += l.Failed
-	}
+	total := c.total(now)
+	ended, failed := total.Ended-load.Ended, total.Failed-load.Failed
 	return failed*load.Ended*failingRatio <= load.Failed*ended
 }
 
-// slowness returns how many times as long as at others an upstream takes to
-// begin; 1 for all that are not clearly slow.
-func (c *Chooser) slowness(now time.Time, u *upstream) float64 {
-	load := c.load(now, u)
-	if load.Begun < enoughBegun {
-		return 1
-	}
-	begun, pace := 0.0, 0.0
-	for _, other := range c.upstreams {
-		if other != u {
-			l := c.load(now, other)
-			begun += l.Begun
-			pace += l.Pace
-		}
-	}
-	if begun < enoughBegun || pace <= 0 {
+// slowness returns how many times as long as at the others of a service an
+// upstream takes to begin; 1 for all that are not clearly slow.
+func (l Load) slowness(total Load) float64 {
+	begun, pace := total.Begun-l.Begun, total.Pace-l.Pace
+	if l.Begun < enoughBegun || begun < enoughBegun || pace <= 0 {
 		return 1
 	}
-	ratio := load.Pace / load.Begun / (pace / begun)
+	ratio := l.Pace / l.Begun / (pace / begun)
 	if ratio < slowRatio {
 		return 1
 	}
