--- a/router/logs_test.go
+++ b/router/logs_test.go
@@ -15,6 +15,7 @@
 
 	"samphirehead/commands"
 	"samphirehead/platform/platformtest"
+	"samphirehead/state/loglines"
 	"samphirehead/state/settings"
 )
 
@@ -129,3 +130,34 @@
 		}
 	}
 }
+
+// blocked never takes what is written to it.
+type blocked struct{ released chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.released
+	return len(p), nil
+}
+
+// A reader of the log that has stopped for good delays no request: all are
+// answered, far more than lines can wait.
+func TestStoppedLogReaderDelaysNoRequest(t *testing.T) {
+	reader := blocked{make(chan struct{})}
+	lines := &loglines.Writer{To: reader}
+	commands.SetLogging(lines, settings.LogDebug)
+	defer func() {
+		commands.SetLogging(os.Stderr, settings.LogInfo)
+		close(reader.released)
+	}()
+	s, _ := one(t, nil)
+	for lines.Dropped() == 0 {
+		if got := s.post("/safe/x", ""); got.status != http.StatusOK {
+			t.Fatalf("answer %+v", got)
+		}
+	}
+	for range 100 {
+		if got := s.post("/safe/x", ""); got.status != http.StatusOK {
+			t.Fatalf("answer %+v", got)
+		}
+	}
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -23,7 +23,7 @@
 	// crashesFor is how long a crash is told to others.
 	crashesFor = 30 * time.Second
 	// announceInterval is how often the list of instances is read again.
-	announceInterval = 10 * time.Second
+	announceInterval = 30 * time.Second
 	announceRetry    = time.Second
 )
 
