--- a/coordination/pulse/pulse.go
+++ b/coordination/pulse/pulse.go
@@ -4,6 +4,7 @@
 package pulse
 
 import (
+	"maps"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +26,9 @@
 	silenceStep = 100 * time.Millisecond
 	// forgetAfter is how long a silent instance stays known.
 	forgetAfter = 10 * time.Minute
+	// namedLimit is the number of failed exchanges in a row after which an
+	// address that no known instance has is given up.
+	namedLimit = 30
 	// pauseGap is the time between two ticks from which this process counts
 	// as having been paused.
 	pauseGap = time.Second
@@ -87,8 +91,9 @@
 	Random *rand.Rand
 
 	peers map[id.Instance]*peer
-	// named holds addresses that no known instance has.
-	named    []string
+	// named holds addresses that no known instance has, with the number of
+	// exchanges in a row that failed there.
+	named    map[string]int
 	lastTick time.Time
 }
 
@@ -105,6 +110,7 @@
 func (m *Machine) Step(now time.Time, ev Event) []string {
 	if m.peers == nil {
 		m.peers = make(map[id.Instance]*peer)
+		m.named = make(map[string]int)
 		m.lastTick = now
 	}
 	switch ev := ev.(type) {
@@ -150,7 +156,7 @@
 
 // targets draws addresses of instances, and of places where one may be.
 func (m *Machine) targets(limit int) []string {
-	addresses := slices.Clone(m.named)
+	addresses := slices.Collect(maps.Keys(m.named))
 	for _, p := range m.peers {
 		addresses = append(addresses, p.PeerAddress)
 	}
@@ -169,7 +175,7 @@
 	known, ok := m.peers[r.Instance]
 	if !ok {
 		m.peers[r.Instance] = &peer{Record: r, heard: now}
-		m.named = slices.DeleteFunc(m.named, func(a string) bool { return a == r.PeerAddress })
+		delete(m.named, r.PeerAddress)
 		return
 	}
 	if !r.Newer(known.Record) {
@@ -184,8 +190,8 @@
 
 func (m *Machine) name(addresses []string) {
 	for _, a := range addresses {
-		if a != m.Self.PeerAddress && !m.knows(a) && !slices.Contains(m.named, a) {
-			m.named = append(m.named, a)
+		if _, known := m.named[a]; !known && a != m.Self.PeerAddress && !m.knows(a) {
+			m.named[a] = 0
 		}
 	}
 }
@@ -200,6 +206,12 @@
 }
 
 func (m *Machine) unreach(address string) {
+	if failures, ok := m.named[address]; ok {
+		m.named[address]++
+		if failures+1 >= namedLimit {
+			delete(m.named, address)
+		}
+	}
 	for _, p := range m.peers {
 		if p.PeerAddress == address {
 			p.unreached = true
--- a/coordination/pulse/pulse_test.go
+++ b/coordination/pulse/pulse_test.go
@@ -162,3 +162,20 @@
 		t.Errorf("%d of 60 instances are named", n)
 	}
 }
+
+// Addresses of instances that are gone for good are not asked for ever, while
+// one that is only late is found.
+func TestAddressesOfGoneInstancesAreGivenUp(t *testing.T) {
+	c := newCluster(t, 2)
+	m := c.machines[address(0)]
+	m.Step(c.now, pulse.Named{Addresses: []string{address(8), address(9)}})
+	c.run(time.Second)
+	c.add(8, 1)
+	c.run(20 * time.Second)
+	c.check(0, 1, 8)
+	for range 20 {
+		if slices.Contains(m.Step(c.now, pulse.Ticked{}), address(9)) {
+			t.Fatal("an address where nobody answered for 20 s is still asked")
+		}
+	}
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -269,11 +269,10 @@
 }
 
 // announce makes this instance known to those that start later, and learns of
-// others, until ctx ends.
+// others, until it leaves or ctx ends.
 func (r *Router) announce(ctx context.Context) error {
 	announced := false
-	for ctx.Err() == nil {
-		wait := announceInterval
+	for {
 		if !announced {
 			err := r.Platform.Announce(ctx, r.Settings.Instance, r.Addr(Peers))
 			announced = err == nil
@@ -282,14 +281,27 @@
 		if err == nil {
 			r.pulseStep(pulse.Named{Addresses: addresses})
 		}
+		wait := announceInterval
 		if err != nil || !announced {
 			klog.V(1).InfoS("instance not announced", "err", err)
 			wait = announceRetry
 		}
 		select {
 		case <-ctx.Done():
+			return nil
+		case <-r.leaving.asked:
+			r.withdraw(ctx)
+			<-ctx.Done()
+			return nil
 		case <-time.After(wait):
 		}
 	}
-	return nil
+}
+
+// withdraw takes back the announcement. One that stays is given up by others
+// when nobody answers there.
+func (r *Router) withdraw(ctx context.Context) {
+	if err := r.Platform.Withdraw(ctx, r.Settings.Instance); err != nil {
+		klog.V(1).InfoS("announcement not withdrawn", "err", err)
+	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -45,6 +45,8 @@
 	Entries(rows map[string]mirror.Row) []registry.Entry
 	// Announce tells where this instance serves its peers.
 	Announce(ctx context.Context, instance id.Instance, peerAddress string) error
+	// Withdraw takes that back.
+	Withdraw(ctx context.Context, instance id.Instance) error
 	// Announced returns the peer addresses that instances announced.
 	Announced(ctx context.Context) ([]string, error)
 }
