router: pass on an upstream's failure where no other can be reached

The caller now gets the answer with the upstream's seal. The test failed with 502 before. explain no longer says 'nothing ran' there.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -47,25 +47,30 @@
 )
 
 // run sends the request to upstreams until one answers, or none may be tried.
+// Then the caller gets the last answer in which an upstream said that it failed.
 func (j *job) run(ctx context.Context) {
+	var faulted *attempt
 	for {
 		a, result, err := j.try(ctx, "")
-		if a == nil {
-			j.finish(ctx, reason(j.refusal))
-			return
-		}
 		if result == answered {
 			j.deliver(ctx, a)
 			return
 		}
-		again := ctx.Err() == nil && j.again(result)
-		j.attemptFailed(a, result, again, err)
+		if result == faulty {
+			faulted = a
+		}
+		again := a != nil && ctx.Err() == nil && j.again(result)
+		if a != nil {
+			j.attemptFailed(a, result, again, err)
+		}
 		if again {
 			continue
 		}
 		switch {
-		case result == faulty && ctx.Err() == nil:
-			j.deliver(ctx, a)
+		case faulted != nil && ctx.Err() == nil:
+			j.deliver(ctx, faulted)
+		case a == nil:
+			j.finish(ctx, reason(j.refusal))
 		case j.ran == 0:
 			j.finish(ctx, notRun)
 		default:
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -282,3 +282,18 @@
 		t.Errorf("two requests reached the upstream %d times", n)
 	}
 }
+
+// A caller gets the failure that an upstream answered, not one of the router's
+// own, where no other upstream can be reached after that.
+func TestFailureOfAnUpstreamIsPassedOn(t *testing.T) {
+	a, b := &platformtest.Upstream{Behave: platformtest.Fail}, &platformtest.Upstream{}
+	s := newSystem(t, 1, a, b)
+	s.usable(s.routers[0], 2)
+	b.Close()
+	for range 3 {
+		got := s.post("/safe/x", "")
+		if got.status != http.StatusInternalServerError || got.header.Get("X-Samphirehead-Server-Seal") != "seal.u0" {
+			t.Errorf("answer %+v", got)
+		}
+	}
+}
--- a/state/trail/trail.go
+++ b/state/trail/trail.go
@@ -95,7 +95,7 @@
 	"body_broken":      "the caller did not send its whole body",
 	"instance_leaving": "the instance was leaving and the request could not end in its grace; nothing ran",
 	"quarantined":      "the request had crashed the upstreams that ran it; it was kept from others",
-	"no_upstream":      "no upstream of the service was left to try; nothing ran",
+	"no_upstream":      "no upstream of the service was left to try",
 	"overloaded":       "it would have begun after its objective, behind others; nothing ran",
 	"not_run":          "no upstream that was tried ran it",
 	"timed_out":        "its time was over before an upstream had answered it whole",
