router: tell the chooser of a first byte once

Found by reading: each event of a stream took the router's lock to report a first byte that only the first one has, some 2,000 times a second. The check for an unexpected end beside that for an end was always true, and a wrapper only called begin.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -28,6 +28,8 @@
 	ticket   choice.Ticket
 	sent     time.Time
 	response *forward.Response
+	// begun is set once the first byte was told to the chooser.
+	begun bool
 	// body is the whole answer where it does not stream.
 	body []byte
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -75,8 +75,10 @@
 	events := forward.Events{Body: a.response.Body}
 	for {
 		data, last, err := events.Next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return p.end(a)
+		if errors.Is(err, io.EOF) {
+			// A stream without events has a head, too.
+			p.begin(a)
+			return nil
 		}
 		if err != nil {
 			return errors.Wrap(err, "read event")
@@ -107,7 +109,10 @@
 
 // begin writes the head of the first upstream's answer.
 func (p *progress) begin(a *attempt) {
-	p.job.router.step(p.job.service, choice.Started{Ticket: a.ticket})
+	if !a.begun {
+		a.begun = true
+		p.job.router.step(p.job.service, choice.Started{Ticket: a.ticket})
+	}
 	if p.begun {
 		return
 	}
@@ -117,12 +122,6 @@
 	p.job.w.WriteHeader(a.response.Status)
 }
 
-// end writes the head of a stream that has no events.
-func (p *progress) end(a *attempt) error {
-	p.begin(a)
-	return nil
-}
-
 // resume goes on at another upstream; nil where that can't be done.
 func (p *progress) resume(ctx context.Context, broke bool) *attempt {
 	j := p.job
--- a/transport/forward/events.go
+++ b/transport/forward/events.go
@@ -42,7 +42,7 @@
 }
 
 func (e *Events) rest() (data []byte, last string, err error) {
-	if !errors.Is(e.ended, io.EOF) || errors.Is(e.ended, io.ErrUnexpectedEOF) || len(e.pending) == 0 {
+	if !errors.Is(e.ended, io.EOF) || len(e.pending) == 0 {
 		return nil, "", e.ended
 	}
 	data, e.pending = e.pending, nil
