choice: hash each engine once a choice

Request.Only was left from a dropped trial and used by tests alone, which now exclude the other upstreams; two fades share one function. The choice is the same.

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -38,8 +38,6 @@
 	OutputTokens id.Tokens
 	// Excluded upstreams are not chosen.
 	Excluded []id.Upstream
-	// Only, unless empty, is the one upstream that may be chosen.
-	Only id.Upstream
 	// Returned requests were refused before; they go before newcomers.
 	Returned bool
 }
@@ -109,7 +107,9 @@
 // upstream is what is known of one upstream.
 type upstream struct {
 	registry.Entry
-	own Load
+	// place orders the engines that join the lane, alike at all entries.
+	place uint64
+	own   Load
 	// others is what the other entries have in progress.
 	others Load
 	cache  cache
@@ -119,7 +119,7 @@
 	ejections    int
 	// warnedUntil is how long another entry keeps away.
 	warnedUntil time.Time
-	// countedAt is the time up to which own.Ended and own.Failed have faded.
+	// countedAt is the time up to which the counts of own have faded.
 	countedAt time.Time
 }
 
@@ -182,7 +182,7 @@
 	for _, e := range ev.Upstreams {
 		u, known := c.byName[e.Upstream]
 		if !known || u.Address != e.Address || u.Born != e.Born {
-			u = &upstream{}
+			u = &upstream{place: score(e.Upstream, "")}
 		}
 		u.Entry = e
 		byName[e.Upstream] = u
@@ -305,7 +305,7 @@
 	var good, ejected []*upstream
 	for _, u := range c.upstreams {
 		switch {
-		case slices.Contains(r.Excluded, u.Upstream), r.Only != "" && r.Only != u.Upstream:
+		case slices.Contains(r.Excluded, u.Upstream):
 		case u.away(now):
 			ejected = append(ejected, u)
 		default:
--- a/coordination/choice/choice_test.go
+++ b/coordination/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,7 +114,7 @@
 		for range c.failures {
 			ended := c.ended
 			ended.Ticket = n.next()
-			chooser.Choose(start, choice.Request{Ticket: ended.Ticket, Only: "u00"})
+			chooser.Choose(start, choice.Request{Ticket: ended.Ticket, Excluded: allBut("u00")})
 			chooser.Step(start, ended)
 		}
 		if got := chooser.Ejected(start)["u00"] > 0; got != c.want {
@@ -251,9 +252,14 @@
 	}
 }
 
+// allBut names the upstreams of a chooser of three but one.
+func allBut(name id.Upstream) []id.Upstream {
+	return slices.DeleteFunc([]id.Upstream{"u00", "u01", "u02"}, func(u id.Upstream) bool { return u == name })
+}
+
 // run sends a request to one upstream and ends it.
 func run(c *choice.Chooser, now time.Time, n *tickets, name id.Upstream, failed bool) {
-	c.Choose(now, choice.Request{Ticket: n.next(), Only: name})
+	c.Choose(now, choice.Request{Ticket: n.next(), Excluded: allBut(name)})
 	if !failed {
 		c.Step(now, choice.Started{Ticket: n.last})
 	}
--- a/coordination/choice/engine.go
+++ b/coordination/choice/engine.go
@@ -44,7 +44,7 @@
 	best, choice, cost := c.cheapest(now, r, kind, lane)
 	if kind == sensitive && cost > r.Objective {
 		// The lane is full: anywhere is better than after the objective.
-		best, choice, _ = c.cheapest(now, r, kind, slices.Clone(candidates))
+		best, choice, _ = c.cheapest(now, r, kind, candidates)
 	}
 	choice.Expected = usualDelay + reading(choice.Ahead+choice.Prefill)
 	if kind == bulk {
@@ -64,13 +64,11 @@
 
 // cheapest returns the engine of least cost, and that cost.
 func (c *Chooser) cheapest(now time.Time, r Request, k kind, engines []*upstream) (*upstream, Choice, time.Duration) {
-	key := affinity(r.Parts)
-	slices.SortFunc(engines, func(a, b *upstream) int { return cmp.Compare(b.score(key), a.score(key)) })
 	total := c.total(now)
 	var best *upstream
 	var choice Choice
 	least := time.Duration(0)
-	for rank, u := range engines {
+	for rank, u := range ranked(engines, affinity(r.Parts)) {
 		load := c.load(now, u)
 		ahead := load.ahead(r.Urgency)
 		prefill := u.cache.missing(r.Parts, rank == 0)
@@ -140,12 +138,26 @@
 	return parts[len(parts)-2].Name
 }
 
+// ranked returns engines in the order of affinity to a key.
+func ranked(engines []*upstream, key string) []*upstream {
+	type scored struct {
+		engine *upstream
+		score  uint64
+	}
+	all := make([]scored, len(engines))
+	for i, u := range engines {
+		all[i] = scored{u, score(u.Upstream, key)}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	order := make([]*upstream, len(all))
+	for i, s := range all {
+		order[i] = s.engine
+	}
+	return order
+}
+
 // score orders upstreams for a key, in the same way at all entries (rendezvous
 // hashing).
-func (u *upstream) score(key string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(u.Upstream))
-	_, _ = d.WriteString("/")
-	_, _ = d.WriteString(key)
-	return d.Sum64()
+func score(name id.Upstream, key string) uint64 {
+	return xxhash.Sum64String(string(name) + "/" + key)
 }
--- a/coordination/choice/health.go
+++ b/coordination/choice/health.go
@@ -39,10 +39,15 @@
 	mostStretch  = 3
 )
 
+// fading is what is left of a sum after a time, with a time constant.
+func fading(passed, memory time.Duration) float64 {
+	return math.Exp(-passed.Seconds() / memory.Seconds())
+}
+
 // fade lets the counts of ended runs fade.
 func (u *upstream) fade(now time.Time) {
 	if passed := now.Sub(u.countedAt); passed > 0 {
-		factor := math.Exp(-passed.Seconds() / countMemory.Seconds())
+		factor := fading(passed, countMemory)
 		u.own.Ended *= factor
 		u.own.Failed *= factor
 		u.own.Begun *= factor
--- a/coordination/choice/lanes.go
+++ b/coordination/choice/lanes.go
@@ -69,7 +69,7 @@
 
 func (l *lanes) decay(now time.Time) {
 	if passed := now.Sub(l.at); passed > 0 {
-		l.reading *= math.Exp(-passed.Seconds() / demandMemory.Seconds())
+		l.reading *= fading(passed, demandMemory)
 		l.at = now
 	}
 }
@@ -113,7 +113,7 @@
 	if len(ordered) < 2 {
 		return ordered
 	}
-	slices.SortFunc(ordered, func(a, b *upstream) int { return cmp.Compare(a.score(""), b.score("")) })
+	slices.SortFunc(ordered, func(a, b *upstream) int { return cmp.Compare(a.place, b.place) })
 	reading, streams := c.Demand(now), 0
 	for _, h := range c.others {
 		if now.Sub(h.at) <= heardFor {
