--- a/state/settings/check.go
+++ b/state/settings/check.go
@@ -29,7 +29,7 @@
 	c.address("platform_address", s.PlatformAddress, document.DialAddress)
 	c.secret("peer_secret", s.PeerSecretFile, s.PeerSecretEnv)
 	c.secret("operator_secret", s.OperatorSecretFile, s.OperatorSecretEnv)
-	c.logLevel()
+	c.logLevel(s.LogLevel)
 	c.peers()
 	c.limits()
 }
@@ -62,8 +62,8 @@
 	}
 }
 
-func (c *checker) logLevel() {
-	switch c.settings.LogLevel {
+func (c *checker) logLevel(level LogLevel) {
+	switch level {
 	case LogDebug, LogInfo, LogWarning, LogError:
 	default:
 		c.fault("log_level", "want debug, info, warning or error")
--- a/state/settings/router.go
+++ b/state/settings/router.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := checker{document: d, settings: &Settings{LogLevel: s.LogLevel}}
+	c := checker{document: d}
 	c.router(s)
 	if err := d.Err(); err != nil {
 		return nil, err
@@ -121,7 +121,7 @@
 		c.address("seeds", seed, document.DialAddress)
 	}
 	c.secret("peer_secret", s.PeerSecretFile, s.PeerSecretEnv)
-	c.logLevel()
+	c.logLevel(s.LogLevel)
 	if s.MemoryBytes < 0 {
 		c.fault("memory_bytes", "want at least 0")
 	}
