commands: write what explain and summary tell to the given streams

They wrote JSON by a twin of printJSON, and to the process's own output, so that no test could run them. -json is indented now like that of the other commands.

--- a/commands/explain.go
+++ b/commands/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -45,21 +44,23 @@
 	f.BoolVar(&c.json, "json", false, "write JSON")
 }
 
-func (c *explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *explainCommand) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	streams := streamsOf(args)
 	if c.id == "" {
-		fmt.Fprint(os.Stderr, c.Usage())
+		fmt.Fprint(streams.Err, c.Usage())
 		return subcommands.ExitUsageError
 	}
 	events, err := readLogs(f.Args())
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(streams.Err, err)
 		return subcommands.ExitFailure
 	}
 	path := trail.Explain(events, c.id)
 	if c.json {
-		return writeJSON(path)
+		printJSON(streams.Out, path)
+		return subcommands.ExitSuccess
 	}
-	fmt.Print(path)
+	fmt.Fprint(streams.Out, path)
 	return subcommands.ExitSuccess
 }
 
@@ -77,32 +78,34 @@
 	f.BoolVar(&c.json, "json", false, "write JSON")
 }
 
-func (c *summaryCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *summaryCommand) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	streams := streamsOf(args)
 	if c.window <= 0 {
-		fmt.Fprint(os.Stderr, c.Usage())
+		fmt.Fprint(streams.Err, c.Usage())
 		return subcommands.ExitUsageError
 	}
 	events, err := readLogs(f.Args())
 	if err == nil {
-		err = c.write(trail.Summarize(events, c.window))
+		err = c.write(streams, trail.Summarize(events, c.window))
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(streams.Err, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
-func (c *summaryCommand) write(s trail.Summary) error {
+func (c *summaryCommand) write(streams Streams, s trail.Summary) error {
 	if c.svg != "" {
 		if err := writeFile(c.svg, s); err != nil {
 			return err
 		}
 	}
 	if c.json {
-		return json.NewEncoder(os.Stdout).Encode(s)
+		printJSON(streams.Out, s)
+		return nil
 	}
-	return s.WriteTable(os.Stdout)
+	return s.WriteTable(streams.Out)
 }
 
 func writeFile(path string, s trail.Summary) error {
@@ -117,14 +120,6 @@
 	return fault.At("write plot", "", err)
 }
 
-func writeJSON(value any) subcommands.ExitStatus {
-	if err := json.NewEncoder(os.Stdout).Encode(value); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
-}
-
 // readLogs reads files, or the standard input where there are none.
 func readLogs(paths []string) ([]trail.Event, error) {
 	if len(paths) == 0 {
