metrics: keep histograms by upstream, and the error of predictions

Cause: whether one upstream is late, and whether the model of engines is right, could be told from log lines only.

--- a/state/metrics/metrics.go
+++ b/state/metrics/metrics.go
@@ -1,9 +1,10 @@
 // Package metrics keeps counters and latency histograms per class and for the
-// busiest workspaces, in a form that expvar serves.
+// busiest workspaces and upstreams, in a form that expvar serves.
 package metrics
 
 import (
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,8 +17,9 @@
 	lowestLatency     = time.Microsecond
 	highestLatency    = 10 * time.Minute
 	significantDigits = 2
-	// maxWorkspaces bounds the memory for histograms of workspaces.
+	// maxWorkspaces and maxUpstreams bound the memory for their histograms.
 	maxWorkspaces = 32
+	maxUpstreams  = 32
 )
 
 // Outcome is how a request ended.
@@ -34,7 +36,10 @@
 type Observation struct {
 	Class     id.Class
 	Workspace id.Workspace
-	Outcome   Outcome
+	// Upstream is the last that the request was sent to; empty where there is
+	// none.
+	Upstream id.Upstream
+	Outcome  Outcome
 	// QueueWait and FirstToken are negative when the request did not get
 	// so far.
 	QueueWait  time.Duration
@@ -48,17 +53,17 @@
 // Registry holds the metrics of one instance. The zero value is ready. It is
 // safe for concurrent use.
 type Registry struct {
-	mu         sync.Mutex
-	classes    map[id.Class]*series
-	workspaces map[id.Workspace]*series
-	counters   map[string]int64
+	mu          sync.Mutex
+	classes     map[id.Class]*series
+	workspaces  busiest[id.Workspace]
+	upstreams   busiest[id.Upstream]
+	predictions map[id.Service]*prediction
+	counters    map[string]int64
 }
 
-// series is the record of one class or workspace.
+// series is the record of one class, workspace or upstream.
 type series struct {
-	// weight orders workspaces by use. A workspace that takes the place of
-	// another starts from the other's weight, so that it never
-	// underestimates (the space-saving method).
+	// weight orders series by use where only the busiest are kept.
 	weight     int64
 	outcomes   map[Outcome]int64
 	attained   int64
@@ -86,7 +91,11 @@
 func (r *Registry) Observe(o Observation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, s := range []*series{r.class(o.Class), r.workspace(o.Workspace)} {
+	all := []*series{r.class(o.Class), r.workspaces.get(o.Workspace, maxWorkspaces)}
+	if o.Upstream != "" {
+		all = append(all, r.upstreams.get(o.Upstream, maxUpstreams))
+	}
+	for _, s := range all {
 		s.weight++
 		s.outcomes[o.Outcome]++
 		s.tokens += o.Tokens
@@ -142,35 +151,6 @@
 	return s
 }
 
-func (r *Registry) workspace(w id.Workspace) *series {
-	if r.workspaces == nil {
-		r.workspaces = make(map[id.Workspace]*series)
-	}
-	if s, ok := r.workspaces[w]; ok {
-		return s
-	}
-	weight := int64(0)
-	if len(r.workspaces) >= maxWorkspaces {
-		weight = r.evictLightest()
-	}
-	s := newSeries(weight)
-	r.workspaces[w] = s
-	return s
-}
-
-// evictLightest removes the workspace of least weight and returns that weight.
-func (r *Registry) evictLightest() int64 {
-	var lightest id.Workspace
-	weight := int64(-1)
-	for w, s := range r.workspaces {
-		if weight < 0 || s.weight < weight || (s.weight == weight && w < lightest) {
-			lightest, weight = w, s.weight
-		}
-	}
-	delete(r.workspaces, lightest)
-	return weight
-}
-
 // Var returns the metrics as they are at each reading, in snake_case JSON.
 func (r *Registry) Var() expvar.Var {
 	return expvar.Func(func() any { return r.snapshot() })
@@ -197,33 +177,35 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	view := struct {
-		Classes    map[id.Class]seriesView     `json:"classes"`
-		Workspaces map[id.Workspace]seriesView `json:"workspaces"`
-		Counters   map[string]int64            `json:"counters"`
+		Classes     map[id.Class]seriesView       `json:"classes"`
+		Workspaces  map[id.Workspace]seriesView   `json:"workspaces"`
+		Upstreams   map[id.Upstream]seriesView    `json:"upstreams"`
+		Predictions map[id.Service]predictionView `json:"predictions"`
+		Counters    map[string]int64              `json:"counters"`
 	}{
-		Classes:    make(map[id.Class]seriesView, len(r.classes)),
-		Workspaces: make(map[id.Workspace]seriesView, len(r.workspaces)),
-		Counters:   make(map[string]int64, len(r.counters)),
-	}
-	for c, s := range r.classes {
-		view.Classes[c] = s.view()
-	}
-	for w, s := range r.workspaces {
-		view.Workspaces[w] = s.view()
+		Classes:     views(r.classes),
+		Workspaces:  views(r.workspaces),
+		Upstreams:   views(r.upstreams),
+		Predictions: make(map[id.Service]predictionView, len(r.predictions)),
+		Counters:    maps.Clone(r.counters),
 	}
-	for name, n := range r.counters {
-		view.Counters[name] = n
+	for service, p := range r.predictions {
+		view.Predictions[service] = p.view()
 	}
 	return view
 }
 
-func (s *series) view() seriesView {
-	outcomes := make(map[Outcome]int64, len(s.outcomes))
-	for o, n := range s.outcomes {
-		outcomes[o] = n
+func views[K comparable](all map[K]*series) map[K]seriesView {
+	out := make(map[K]seriesView, len(all))
+	for name, s := range all {
+		out[name] = s.view()
 	}
+	return out
+}
+
+func (s *series) view() seriesView {
 	return seriesView{
-		Outcomes:      outcomes,
+		Outcomes:      maps.Clone(s.outcomes),
 		Attained:      s.attained,
 		Tokens:        s.tokens,
 		FirstToken:    summarize(s.firstToken),
