loglines: bound the lines of each class, and report those that were dropped

Cause: a class of many lines could fill the queue, and the others were lost with it; the loss was seen in the metrics only. The test of the full queue writes lines of 60 classes now, so that still the queue is what is full.

--- a/state/loglines/loglines.go
+++ b/state/loglines/loglines.go
@@ -17,28 +17,43 @@
 	// batchTime is how long a line waits for others.
 	batchTime = 50 * time.Millisecond
 	flushTime = 200 * time.Millisecond
+	// reportInterval is how often dropped lines are reported.
+	reportInterval = time.Second
 )
 
-// Writer writes lines in the background. To is set before the first Write. It
-// is safe for concurrent use.
+// Writer writes lines in the background. Its exported fields are set before the
+// first Write. It is safe for concurrent use.
 type Writer struct {
 	To io.Writer
+	// Report is told of lines that were dropped, by class, the message of the
+	// line. It may write lines. Nil reports none.
+	Report func(class string, lines int64)
 
 	once    sync.Once
 	lines   chan []byte
 	dropped atomic.Int64
+	mu      sync.Mutex
+	quota   Quota
 	// flushes holds channels that are closed once what came before is written.
 	flushes chan chan struct{}
 }
 
-// Write queues one line; it never waits. A line that finds the queue full is
-// dropped and counted.
+// Write queues one line; it never waits. A line over the quota of its class, or
+// that finds the queue full, is dropped and counted.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.once.Do(w.start)
+	class := classOf(line)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.quota.Take(time.Now(), class) {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
 		w.dropped.Add(1)
+		w.quota.Drop(class)
 	}
 	return len(line), nil
 }
@@ -70,8 +85,13 @@
 
 func (w *Writer) run() {
 	var batch []byte
+	reports := time.NewTicker(reportInterval)
+	defer reports.Stop()
 	for {
 		select {
+		case <-reports.C:
+			w.report()
+			continue
 		case line := <-w.lines:
 			batch = append(batch, line...)
 		case done := <-w.flushes:
@@ -95,6 +115,19 @@
 	}
 }
 
+// report tells of the lines that were dropped since the last report.
+func (w *Writer) report() {
+	w.mu.Lock()
+	dropped := w.quota.Dropped()
+	w.mu.Unlock()
+	if w.Report == nil {
+		return
+	}
+	for class, lines := range dropped {
+		w.Report(class, lines)
+	}
+}
+
 func (w *Writer) drain(batch []byte) {
 	for {
 		select {
--- a/state/loglines/loglines_test.go
+++ b/state/loglines/loglines_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"samphirehead/state/loglines"
 )
@@ -56,10 +57,52 @@
 	to := &stuck{released: make(chan struct{})}
 	defer close(to.released)
 	w := &loglines.Writer{To: to}
-	for range 20_000 {
-		_, _ = w.Write([]byte("line\n"))
+	for i := range 20_000 {
+		// Of so many classes none is over its quota: the queue is what is full.
+		_, _ = fmt.Fprintf(w, `{"msg":"class %d"}`+"\n", i%60)
 	}
 	if w.Dropped() == 0 {
 		t.Error("no line was dropped, though none could be written")
 	}
 }
+
+// A class of many lines is bounded, and takes no room from the others.
+func TestQuotaOfOneClass(t *testing.T) {
+	var q loglines.Quota
+	now := time.Unix(1000, 0)
+	written := 0
+	for range 5000 {
+		if q.Take(now, "sent") {
+			written++
+		}
+	}
+	if written == 0 || written > 2000 {
+		t.Errorf("%d lines of one class in one second", written)
+	}
+	if !q.Take(now, "stopped") {
+		t.Error("a line of another class was dropped")
+	}
+	if !q.Take(now.Add(time.Second), "sent") {
+		t.Error("no line in the next second")
+	}
+	if dropped := q.Dropped(); len(dropped) != 1 || dropped["sent"] != int64(5000-written) {
+		t.Errorf("dropped %v, want %d of sent", dropped, 5000-written)
+	}
+	if dropped := q.Dropped(); len(dropped) != 0 {
+		t.Errorf("reported twice: %v", dropped)
+	}
+}
+
+// Dropped lines are reported by class once lines are written again.
+func TestDroppedLinesAreReported(t *testing.T) {
+	to := &stuck{released: make(chan struct{})}
+	close(to.released)
+	reported := make(chan string, 10)
+	w := &loglines.Writer{To: to, Report: func(class string, lines int64) { reported <- fmt.Sprint(class, lines > 0) }}
+	for w.Dropped() == 0 {
+		_, _ = w.Write([]byte(`{"time":"now","msg":"sent","err":"\"msg\":\"x\""}` + "\n"))
+	}
+	if got := <-reported; got != "senttrue" {
+		t.Errorf("reported %q", got)
+	}
+}
