--- a/coordination/pulse/pulse.go
+++ b/coordination/pulse/pulse.go
@@ -95,6 +95,8 @@
 	// exchanges in a row that failed there.
 	named    map[string]int
 	lastTick time.Time
+	// told holds the instances that Changes last called live.
+	told map[id.Instance]Record
 }
 
 type peer struct {
--- a/coordination/pulse/pulse_test.go
+++ b/coordination/pulse/pulse_test.go
@@ -179,3 +179,32 @@
 		}
 	}
 }
+
+// An instance that is lost and comes back is told of once each time.
+func TestChangesAreToldOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	watcher := c.machines[address(0)]
+	told := func() (all []string) {
+		for _, change := range watcher.Changes(c.now) {
+			all = append(all, fmt.Sprint(change.Instance, " ", change.Live))
+		}
+		return all
+	}
+	steps := []struct {
+		down bool
+		want []string
+	}{
+		{false, []string{"i1 true", "i2 true"}},
+		{false, nil},
+		{true, []string{"i2 false"}},
+		{true, nil},
+		{false, []string{"i2 true"}},
+	}
+	for i, step := range steps {
+		c.down[address(2)] = step.down
+		c.run(3 * time.Second)
+		if got := told(); !slices.Equal(got, step.want) {
+			t.Errorf("step %d: told %v, want %v", i, got, step.want)
+		}
+	}
+}
