choice: tell what an entry newly holds of an upstream, and its grounds

Cause: ejections and slowness were seen in the metrics while they lasted, and in no log line. The choice also tells how many other loads it counted and how old they were; share tells what is spent of a budget.

--- /dev/null
+++ b/coordination/choice/change.go
@@ -0,0 +1,82 @@
+package choice
+
+import (
+	"time"
+
+	"samphirehead/state/id"
+)
+
+// Belief is what an entry holds of an upstream.
+type Belief string
+
+// The beliefs that are told. Upstreams are Good until they are not.
+const (
+	Good    Belief = "good"
+	Ejected Belief = "ejected"
+	Slow    Belief = "slow"
+)
+
+// Cause is why an upstream was ejected.
+type Cause string
+
+// The causes of an ejection.
+const (
+	// Unreached upstreams could not be connected to.
+	Unreached Cause = "unreached"
+	// FailuresInRow were too many.
+	FailuresInRow Cause = "failures_in_row"
+	// FailsMore than the others of the service.
+	FailsMore Cause = "fails_more"
+	// PeerWarned that it keeps away from the upstream.
+	PeerWarned Cause = "peer_warned"
+)
+
+// Change is a new belief.
+type Change struct {
+	Upstream id.Upstream
+	Belief   Belief
+	// Cause and For, how long it is kept away from, are those of an ejection.
+	Cause Cause
+	For   time.Duration
+	// Failed of Ended runs lately, over all entries, and Slowness, how many
+	// times as long as at others an answer takes to begin, are what the
+	// belief rests on.
+	Failed, Ended, Slowness float64
+}
+
+// Changes returns the new beliefs since it was last asked, in order.
+func (c *Chooser) Changes() []Change {
+	changes := c.changes
+	c.changes = nil
+	return changes
+}
+
+// believe notes a new belief of an upstream. An upstream that is ejected again
+// before it was good is told of once.
+func (c *Chooser) believe(now time.Time, u *upstream, b Belief, cause Cause, until time.Time) {
+	if u.belief == b || (b == Good && u.belief == "") {
+		return
+	}
+	u.belief = b
+	load := c.load(now, u)
+	change := Change{
+		Upstream: u.Upstream, Belief: b, Cause: cause,
+		Failed: load.Failed, Ended: load.Ended, Slowness: load.slowness(c.total(now)),
+	}
+	if b == Ejected {
+		change.For = until.Sub(now)
+	}
+	c.changes = append(c.changes, change)
+}
+
+// judge notes whether an upstream that has just begun or ended a run is slow or
+// good again.
+func (c *Chooser) judge(now time.Time, u *upstream) {
+	switch {
+	case u.away(now):
+	case c.load(now, u).slowness(c.total(now)) > 1:
+		c.believe(now, u, Slow, "", time.Time{})
+	default:
+		c.believe(now, u, Good, "", time.Time{})
+	}
+}
--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -64,8 +64,13 @@
 	Prefill id.Tokens
 	// Ahead is how many it is expected to read before.
 	Ahead id.Tokens
-	// Expected is the time to the first event or answer.
+	// Expected is the time to the first event of an engine's answer; 0 at
+	// plain services.
 	Expected time.Duration
+	// News is how many other entries' loads were counted, and Age how old the
+	// oldest of them was.
+	News int
+	Age  time.Duration
 	// Rank is the place of the upstream in the order of affinity; 0 is the
 	// first.
 	Rank int
@@ -102,6 +107,7 @@
 	// stretch is how many times as long as expected bulk requests take to
 	// begin behind others.
 	stretch float64
+	changes []Change
 }
 
 // upstream is what is known of one upstream.
@@ -121,6 +127,8 @@
 	warnedUntil time.Time
 	// countedAt is the time up to which the counts of own have faded.
 	countedAt time.Time
+	// belief is what was last told of it; empty is Good.
+	belief Belief
 }
 
 // run is a request in progress.
@@ -161,6 +169,7 @@
 	case Warned:
 		if u, ok := c.byName[ev.Upstream]; ok {
 			u.warnedUntil = now.Add(min(ev.For, longestEjection))
+			c.believe(now, u, Ejected, PeerWarned, u.warnedUntil)
 		}
 	}
 }
@@ -207,6 +216,7 @@
 	if r.kind == bulk && r.expected >= stretchFrom {
 		c.stretch += stretchStep * (min(pace, mostStretch) - c.stretch)
 	}
+	c.judge(now, u)
 }
 
 func (c *Chooser) end(now time.Time, ev Ended) {
@@ -227,13 +237,16 @@
 	u.fade(now)
 	switch {
 	case ev.Unreached:
-		u.eject(now)
+		c.eject(now, u, Unreached)
 	case ev.Failed:
 		u.own.Ended++
 		u.own.Failed++
 		u.failures++
-		if u.failures >= failureLimit || c.failsMore(now, u) {
-			u.eject(now)
+		switch {
+		case u.failures >= failureLimit:
+			c.eject(now, u, FailuresInRow)
+		case c.failsMore(now, u):
+			c.eject(now, u, FailsMore)
 		}
 	case r.started:
 		u.own.Ended++
@@ -292,6 +305,7 @@
 	if chosen.kind == sensitive {
 		u.own.Sensitive++
 	}
+	chosen.News, chosen.Age = c.news(now)
 	c.running[r.Ticket] = &run{
 		upstream: u, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind,
 		expected: usualDelay + reading(chosen.Ahead+chosen.Prefill), chosen: now,
--- a/coordination/choice/choice_test.go
+++ b/coordination/choice/choice_test.go
@@ -338,6 +338,9 @@
 	if got := share(100 * time.Millisecond); got > 0.2 {
 		t.Errorf("a slow upstream got %.2f of the requests", got)
 	}
+	if told := c.Changes(); len(told) != 1 || told[0].Belief != choice.Slow || told[0].Slowness < 3 {
+		t.Errorf("told %+v of the slow upstream", told)
+	}
 	now = now.Add(10 * time.Second)
 	share(20 * time.Millisecond)
 	if got := share(20 * time.Millisecond); got < 0.2 {
@@ -345,6 +348,45 @@
 	}
 }
 
+// What an entry comes to hold of an upstream is told once, with its grounds.
+func TestBeliefsAreTold(t *testing.T) {
+	c := chooser(3, 0)
+	var n tickets
+	now := start
+	var told []string
+	run := func(times int, took time.Duration, failed bool) {
+		for range times {
+			now = now.Add(50 * time.Millisecond)
+			_, _ = c.Choose(now, choice.Request{Ticket: n.next(), Excluded: allBut("u00")})
+			if !failed {
+				c.Step(now.Add(took), choice.Started{Ticket: n.last})
+			}
+			c.Step(now.Add(took), choice.Ended{Ticket: n.last, Failed: failed})
+			for _, change := range c.Changes() {
+				told = append(told, fmt.Sprint(change.Upstream, " ", change.Belief, " ", change.Cause))
+			}
+		}
+	}
+	for _, other := range []id.Upstream{"u01", "u02"} {
+		for range 10 {
+			_, _ = c.Choose(now, choice.Request{Ticket: n.next(), Excluded: allBut(other)})
+			c.Step(now.Add(20*time.Millisecond), choice.Started{Ticket: n.last})
+			c.Step(now.Add(20*time.Millisecond), choice.Ended{Ticket: n.last})
+		}
+	}
+	run(5, 20*time.Millisecond, false)
+	run(5, 20*time.Millisecond, true)
+	now = now.Add(5 * time.Second)
+	run(2, 20*time.Millisecond, false)
+	c.Step(now, choice.Warned{Upstream: "u00", For: time.Second})
+	c.Step(now, choice.Warned{Upstream: "u00", For: time.Second})
+	run(1, 20*time.Millisecond, true)
+	want := []string{"u00 ejected fails_more", "u00 good ", "u00 ejected peer_warned"}
+	if !slices.Equal(told, want) {
+		t.Errorf("told %q, want %q", told, want)
+	}
+}
+
 // Pattern: bulk requests come faster than the engines read. Those that would
 // begin after their objective are refused at once; the others begin in time,
 // those that come back are taken, and urgent requests are never refused.
--- a/coordination/choice/health.go
+++ b/coordination/choice/health.go
@@ -84,7 +84,7 @@
 
 // eject keeps an upstream away for a time that grows with each ejection in a
 // row. One more failure after it ejects the upstream again.
-func (u *upstream) eject(now time.Time) {
+func (c *Chooser) eject(now time.Time, u *upstream, cause Cause) {
 	if now.Before(u.ejectedUntil) {
 		return
 	}
@@ -92,6 +92,7 @@
 	u.ejections++
 	u.failures = failureLimit - 1
 	u.cache = cache{}
+	c.believe(now, u, Ejected, cause, u.ejectedUntil)
 }
 
 // succeed counts a whole answer. An upstream that has been good for a while is
--- a/coordination/choice/load.go
+++ b/coordination/choice/load.go
@@ -65,6 +65,18 @@
 	return total
 }
 
+// news returns how many other entries' loads count, and the age of the oldest.
+func (c *Chooser) news(now time.Time) (int, time.Duration) {
+	n, oldest := 0, time.Duration(0)
+	for _, h := range c.others {
+		if age := now.Sub(h.at); age <= heardFor {
+			n++
+			oldest = max(oldest, age)
+		}
+	}
+	return n, oldest
+}
+
 // addOthers adds up what the other entries told lately, where that is due.
 func (c *Chooser) addOthers(now time.Time) {
 	if now.Sub(c.addedAt) < addInterval {
--- a/coordination/share/share.go
+++ b/coordination/share/share.go
@@ -45,15 +45,21 @@
 // Take spends one repeat and reports whether there was one. instances is the
 // number that share the budget, at least 1.
 func (s *Share) Take(now time.Time, service id.Service, instances int) bool {
-	w := s.at(now, service)
-	allowed := margin * (s.Ratio*sum(w.requests) + s.Slack/float64(max(instances, 1)))
-	if sum(w.repeats)+1 > allowed {
+	if spent, allowed := s.Budget(now, service, instances); spent+1 > allowed {
 		return false
 	}
+	w := s.at(now, service)
 	w.repeats[w.cell%cells]++
 	return true
 }
 
+// Budget returns how many repeats this instance spent in the last window, and
+// how many it may.
+func (s *Share) Budget(now time.Time, service id.Service, instances int) (spent, allowed float64) {
+	w := s.at(now, service)
+	return sum(w.repeats), margin * (s.Ratio*sum(w.requests) + s.Slack/float64(max(instances, 1)))
+}
+
 func (s *Share) at(now time.Time, service id.Service) *window {
 	if s.services == nil {
 		s.services = make(map[id.Service]*window)
