router: log each request as received, peers, budgets and beliefs; list all metrics

Cause: a request that ended with its instance before it was sent had no line; the classification was repeated in each sent line.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -140,9 +140,8 @@
 		LastEvent: lastEvent,
 		Once:      j.route.Repeat == routing.AtMostOnce && !j.route.Streaming,
 	}
-	klog.InfoS("sent", "request", j.ID, "route", j.route.Name, "workspace", send.Workspace, "version", j.version,
-		"upstream", a.Upstream, "attempt", len(j.tried), "urgency", send.Urgency, "left", send.Budget,
-		"rank", a.Rank, "prefill", a.Prefill, "ahead", a.Ahead)
+	klog.InfoS("sent", "request", j.ID, "upstream", a.Upstream, "attempt", len(j.tried), "left", send.Budget,
+		"rank", a.Rank, "prefill", a.Prefill, "ahead", a.Ahead, "expected", a.Expected, "news", a.News, "age", a.Age)
 	response, err := j.router.forward.Send(ctx, j.Request, send)
 	if err != nil {
 		result := failed
@@ -262,11 +261,11 @@
 	}
 	after := time.Since(j.arrived)
 	seen := metrics.Observation{
-		Class: id.Class(j.route.Name), Workspace: j.workspaceName(), Outcome: metrics.Completed,
+		Class: id.Class(j.route.Name), Workspace: j.workspaceName(), Upstream: a.Upstream, Outcome: metrics.Completed,
 		QueueWait: -1, FirstToken: after, Attained: after <= j.route.Objective,
 	}
 	fields := []any{
-		"request", j.ID, "route", j.route.Name, "workspace", j.workspaceName(), "upstream", a.Upstream,
+		"request", j.ID, "upstream", a.Upstream,
 		"status", a.response.Status, "attempts", len(j.tried), "after", after, "err", err,
 	}
 	if p != nil {
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -30,18 +30,33 @@
 
 // status is what the metrics tell of the instance itself.
 type status struct {
-	RoutesVersion   id.ManifestVersion `json:"routes_version"`
-	PlatformReached map[string]bool    `json:"platform_reached"`
-	Live            int                `json:"instances_live"`
-	Upstreams       int                `json:"upstreams_usable"`
+	RoutesVersion id.ManifestVersion `json:"routes_version"`
+	// RoutesAge is in milliseconds, since the version took effect here.
+	RoutesAge       int64           `json:"routes_age_ms"`
+	PlatformReached map[string]bool `json:"platform_reached"`
+	Live            int             `json:"instances_live"`
+	Upstreams       int             `json:"upstreams_usable"`
 	// Ejected has the milliseconds for which upstreams are kept away from.
-	Ejected         map[id.Upstream]int64 `json:"upstreams_ejected_ms"`
+	Ejected map[id.Upstream]int64 `json:"upstreams_ejected_ms"`
+	// RetryBudgets has the repeats by service.
+	RetryBudgets    map[id.Service]budget `json:"retry_budgets"`
 	Quarantines     int                   `json:"quarantines"`
 	InFlight        int64                 `json:"requests_in_flight"`
 	Leaving         bool                  `json:"leaving"`
 	LogLinesDropped int64                 `json:"log_lines_dropped"`
 }
 
+// LinesDropped logs that lines of a class were dropped.
+func LinesDropped(class string, lines int64) {
+	klog.InfoS("log lines dropped", "class", class, "lines", lines)
+}
+
+// budget is what this instance spent of its part of a budget, and that part.
+type budget struct {
+	Spent   float64 `json:"spent"`
+	Allowed float64 `json:"allowed"`
+}
+
 func (r *Router) status() status {
 	now := time.Now()
 	table := r.table.Load()
@@ -51,20 +66,25 @@
 		PlatformReached: map[string]bool{
 			r.routes.name: r.routes.reached.Load(), r.upstreams.name: r.upstreams.reached.Load(),
 		},
-		Live:        len(r.pulse.Live(now)),
-		Upstreams:   len(r.pools.known),
-		Ejected:     make(map[id.Upstream]int64),
-		Quarantines: r.suspects.Begun(),
-		InFlight:    r.inFlight.Load(),
-		Leaving:     r.leaving.begun(),
+		Live:         len(r.pulse.Live(now)),
+		RetryBudgets: make(map[id.Service]budget),
+		Upstreams:    len(r.pools.known),
+		Ejected:      make(map[id.Upstream]int64),
+		Quarantines:  r.suspects.Begun(),
+		InFlight:     r.inFlight.Load(),
+		Leaving:      r.leaving.begun(),
 	}
-	for _, c := range r.pools.choosers {
+	for service, c := range r.pools.choosers {
+		var b budget
+		b.Spent, b.Allowed = r.share.Budget(now, service, out.Live)
+		out.RetryBudgets[service] = b
 		for upstream, left := range c.Ejected(now) {
 			out.Ejected[upstream] = left.Milliseconds()
 		}
 	}
 	if table != nil {
 		out.RoutesVersion = table.Version
+		out.RoutesAge = now.Sub(r.tableAt).Milliseconds()
 	}
 	if r.Dropped != nil {
 		out.LogLinesDropped = r.Dropped()
--- a/router/peers.go
+++ b/router/peers.go
@@ -53,8 +53,9 @@
 			running--
 		case <-r.leaving.announced:
 			start(r.pulseStep(pulse.Updated{Ready: false, Leaving: true}))
-		case <-ticker.C:
+		case now := <-ticker.C:
 			start(r.pulseStep(pulse.Ticked{}))
+			r.logPeers(now)
 		}
 	}
 }
@@ -65,6 +66,20 @@
 	return r.pulse.Step(time.Now(), ev)
 }
 
+// logPeers logs which instances became live, and which no longer are.
+func (r *Router) logPeers(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.pulse.Changes(now) {
+		if c.Live {
+			klog.InfoS("peer live", "peer", c.Instance, "address", c.PeerAddress, "failure_domain", c.FailureDomain)
+			continue
+		}
+		klog.InfoS("peer lost", "peer", c.Instance, "address", c.PeerAddress, "leaving", c.Leaving,
+			"unheard", c.Unheard, "unreached", c.Unreached)
+	}
+}
+
 // swap exchanges states with one instance, and takes its copy of a table where
 // that is ahead.
 func (r *Router) swap(ctx context.Context, address string) {
@@ -227,6 +242,7 @@
 		for _, f := range s.Failing {
 			c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
 		}
+		logBeliefs(service, c)
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -78,7 +78,9 @@
 	routes    copied
 	upstreams copied
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// tableAt is when the table in force took effect.
+	tableAt  time.Time
 	pulse    *pulse.Machine
 	registry registry.Registry
 	pools    pools
--- a/router/serve.go
+++ b/router/serve.go
@@ -119,6 +119,8 @@
 	}
 	j.service = j.route.Target(rand.Float64())
 	j.deadline = j.arrived.Add(j.patience())
+	klog.InfoS("received", "request", j.ID, "route", j.route.Name, "service", j.service, "workspace", j.workspaceName(),
+		"urgency", j.urgency(), "version", j.version, "left", j.patience(), "caller", request.RemoteAddr)
 	if !r.fits(j) {
 		return j, instanceLeave
 	}
@@ -229,11 +231,12 @@
 	m.Add("ended_"+string(why), 1)
 	if j.route != nil {
 		m.Observe(metrics.Observation{
-			Class: id.Class(j.route.Name), Workspace: j.workspaceName(), Outcome: outcome, QueueWait: -1, FirstToken: -1,
+			Class: id.Class(j.route.Name), Workspace: j.workspaceName(), Upstream: j.lastTried(), Outcome: outcome,
+			QueueWait: -1, FirstToken: -1,
 		})
 	}
-	klog.InfoS("ended", "request", j.ID, "status", j.status, "reason", why, "outcome", outcome, "route", j.routeName(),
-		"workspace", j.workspaceName(), "attempts", len(j.tried), "ran", j.ran, "after", time.Since(j.arrived))
+	klog.InfoS("ended", "request", j.ID, "status", j.status, "reason", why, "outcome", outcome,
+		"route", j.routeName(), "workspace", j.workspaceName(), "attempts", len(j.tried), "ran", j.ran, "after", time.Since(j.arrived), "expected", j.expected)
 }
 
 func (j *job) routeName() string {
@@ -243,6 +246,14 @@
 	return j.route.Name
 }
 
+// lastTried returns the upstream that the request was last sent to.
+func (j *job) lastTried() id.Upstream {
+	if len(j.tried) == 0 {
+		return ""
+	}
+	return j.tried[len(j.tried)-1]
+}
+
 func (j *job) workspaceName() id.Workspace {
 	if j.workspace == nil {
 		return ""
@@ -289,5 +300,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	return r.share.Take(now, j.service, len(r.pulse.Live(now)))
+	instances := len(r.pulse.Live(now))
+	if r.share.Take(now, j.service, instances) {
+		return true
+	}
+	spent, allowed := r.share.Budget(now, j.service, instances)
+	klog.InfoS("retry budget spent", "request", j.ID, "service", j.service, "spent", spent, "allowed", allowed, "instances", instances)
+	return false
 }
--- a/router/tables.go
+++ b/router/tables.go
@@ -79,6 +79,7 @@
 	klog.InfoS("routes in force", "version", table.Version, "hosts", table.Hosts(), "revision", revision)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tableAt = time.Now()
 	r.configurePools(table)
 	r.pulse.Step(time.Now(), pulse.Updated{Ready: r.ready(), Leaving: r.leaving.begun()})
 }
--- a/state/trail/trail.go
+++ b/state/trail/trail.go
@@ -21,27 +21,36 @@
 
 // Event is one log line.
 type Event struct {
-	Time     time.Time     `json:"time"`
-	Instance string        `json:"instance"`
-	Message  string        `json:"msg"`
-	Request  string        `json:"request,omitempty"`
-	Route    string        `json:"route,omitempty"`
-	Upstream string        `json:"upstream,omitempty"`
-	Outcome  string        `json:"outcome,omitempty"`
-	Reason   string        `json:"reason,omitempty"`
-	Error    string        `json:"err,omitempty"`
-	Status   int           `json:"status,omitempty"`
-	Attempt  int           `json:"attempt,omitempty"`
-	Attempts int           `json:"attempts,omitempty"`
-	Events   int           `json:"events,omitempty"`
-	Rank     int           `json:"rank,omitempty"`
-	Prefill  int           `json:"prefill,omitempty"`
-	Ahead    int           `json:"ahead,omitempty"`
-	After    time.Duration `json:"after,omitempty"`
-	First    time.Duration `json:"first,omitempty"`
-	Pause    time.Duration `json:"pause,omitempty"`
-	Left     time.Duration `json:"left,omitempty"`
-	Again    bool          `json:"again,omitempty"`
+	Time      time.Time     `json:"time"`
+	Instance  string        `json:"instance"`
+	Message   string        `json:"msg"`
+	Request   string        `json:"request,omitempty"`
+	Route     string        `json:"route,omitempty"`
+	Service   string        `json:"service,omitempty"`
+	Workspace string        `json:"workspace,omitempty"`
+	Version   uint64        `json:"version,omitempty"`
+	Urgency   int           `json:"urgency,omitempty"`
+	Upstream  string        `json:"upstream,omitempty"`
+	Outcome   string        `json:"outcome,omitempty"`
+	Reason    string        `json:"reason,omitempty"`
+	Error     string        `json:"err,omitempty"`
+	Status    int           `json:"status,omitempty"`
+	Attempt   int           `json:"attempt,omitempty"`
+	Attempts  int           `json:"attempts,omitempty"`
+	Events    int           `json:"events,omitempty"`
+	Rank      int           `json:"rank,omitempty"`
+	Prefill   int           `json:"prefill,omitempty"`
+	Ahead     int           `json:"ahead,omitempty"`
+	After     time.Duration `json:"after,omitempty"`
+	First     time.Duration `json:"first,omitempty"`
+	Pause     time.Duration `json:"pause,omitempty"`
+	Left      time.Duration `json:"left,omitempty"`
+	Expected  time.Duration `json:"expected,omitempty"`
+	News      int           `json:"news,omitempty"`
+	Age       time.Duration `json:"age,omitempty"`
+	Spent     float64       `json:"spent,omitempty"`
+	Allowed   float64       `json:"allowed,omitempty"`
+	Again     bool          `json:"again,omitempty"`
 }
 
 // Read reads log lines. Lines may have something before their JSON object; those
@@ -135,6 +144,9 @@
 	if e.Status > 0 {
 		text = fmt.Sprintf("answered %d: %s", e.Status, text)
 	}
+	if e.Reason == "overloaded" {
+		text += fmt.Sprintf("; it would have begun after %s", e.Expected.Round(time.Millisecond))
+	}
 	for _, f := range slices.Backward(events) {
 		if f.Error != "" {
 			return fmt.Sprintf("%s; last at %s: %s", text, f.Upstream, f.Error)
@@ -155,9 +167,13 @@
 
 func (e Event) words() string {
 	switch e.Message {
+	case "received":
+		return fmt.Sprintf("received: route %s, service %s, workspace %s, urgency %d, routes of version %d, %s to wait",
+			e.Route, e.Service, e.Workspace, e.Urgency, e.Version, e.Left.Round(time.Millisecond))
 	case "sent":
-		return fmt.Sprintf("sent to %s, attempt %d, %s left: choice %d by affinity, %d tokens to read, %d ahead",
-			e.Upstream, e.Attempt, e.Left.Round(time.Millisecond), e.Rank+1, e.Prefill, e.Ahead)
+		return fmt.Sprintf("sent to %s, attempt %d, %s left: %s", e.Upstream, e.Attempt, e.Left.Round(time.Millisecond), e.grounds())
+	case "retry budget spent":
+		return fmt.Sprintf("not repeated: %.0f repeats to %s in the last window, %.1f allowed", e.Spent, e.Service, e.Allowed)
 	case "attempt failed":
 		return fmt.Sprintf("%s at %s after %s, status %d, tried again: %t %s",
 			e.Outcome, e.Upstream, e.After.Round(time.Millisecond), e.Status, e.Again, e.Error)
@@ -172,3 +188,12 @@
 	}
 	return e.Message
 }
+
+// grounds tells why the upstream was chosen.
+func (e Event) grounds() string {
+	if e.Expected == 0 {
+		return fmt.Sprintf("least work, loads of %d others up to %s old", e.News, e.Age.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("choice %d by affinity, %d tokens to read, %d ahead, expected after %s, loads of %d others up to %s old",
+		e.Rank+1, e.Prefill, e.Ahead, e.Expected.Round(time.Millisecond), e.News, e.Age.Round(time.Millisecond))
+}
--- a/state/trail/trail_test.go
+++ b/state/trail/trail_test.go
@@ -17,13 +17,15 @@
 {"time":"2026-12-04T10:00:12Z","msg":"answered","instance":"b","request":"r3","upstream":"u2","status":500,"after":2000000}
 {"time":"2026-12-04T10:00:13Z","msg":"sent","instance":"b","request":"r4","upstream":"u3"}
 {"time":"2026-12-04T10:00:14Z","msg":"ended","instance":"b","request":"r5","status":503,"reason":"instance_leaving","outcome":"not_run"}
+{"time":"2026-12-04T10:00:15Z","msg":"received","instance":"c","request":"r7","route":"notes","service":"s","workspace":"w","urgency":2,"version":4,"left":4000000000}
+{"time":"2026-12-04T10:00:15.001Z","msg":"ended","instance":"c","request":"r7","status":503,"reason":"overloaded","outcome":"not_run","expected":2500000000}
 {"broken
 `
 
 func events(t *testing.T) []trail.Event {
 	t.Helper()
 	events, err := trail.Read("test", strings.NewReader(logs))
-	if err != nil || len(events) != 7 {
+	if err != nil || len(events) != 9 {
 		t.Fatalf("read %d events, %v", len(events), err)
 	}
 	return events
@@ -40,6 +42,7 @@
 		"r4": {1, `the log of b ends after "sent" at u3`},
 		"r5": {1, "nothing ran"},
 		"r6": {0, "no line"},
+		"r7": {2, "nothing ran; it would have begun after 2.5s"},
 	} {
 		path := trail.Explain(events(t), request)
 		if len(path.Events) != c.lines || !strings.Contains(path.Cause, c.cause) {
@@ -47,6 +50,9 @@
 		}
 	}
 	text := trail.Explain(events(t), "r1").String()
+	if refused := trail.Explain(events(t), "r7").String(); !strings.Contains(refused, "route notes, service s, workspace w, urgency 2, routes of version 4, 4s to wait") {
+		t.Errorf("classification is missing:\n%s", refused)
+	}
 	sent, ended := strings.Index(text, "sent to u1"), strings.Index(text, "ended after")
 	if sent < 0 || ended < sent {
 		t.Errorf("not in time order:\n%s", text)
@@ -56,7 +62,7 @@
 func TestSummary(t *testing.T) {
 	s := trail.Summarize(events(t), 10*time.Second)
 	for cause, want := range map[string][2]int{
-		"answered": {1, 0}, "outcome_unknown": {1, 0}, "upstream_500": {0, 1}, "instance_leaving": {0, 1},
+		"answered": {1, 0}, "outcome_unknown": {1, 0}, "upstream_500": {0, 1}, "instance_leaving": {0, 1}, "overloaded": {0, 1},
 	} {
 		if got := s.Counts[cause]; len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
 			t.Errorf("%s: %v, want %v", cause, got, want)
