--- a/state/loglines/loglines.go
+++ b/state/loglines/loglines.go
@@ -12,8 +12,10 @@
 const (
 	// queuedLines bounds the lines that wait to be written.
 	queuedLines = 4096
-	// batchBytes is how much is written at once.
-	batchBytes = 16 << 10
+	// batchBytes is how much is written at once, whole lines: what a pipe
+	// takes without tearing it, as POSIX promises (PIPE_BUF). A longer line is
+	// written alone.
+	batchBytes = 4 << 10
 	// batchTime is how long a line waits for others.
 	batchTime = 50 * time.Millisecond
 	flushTime = 200 * time.Millisecond
@@ -84,34 +86,19 @@
 }
 
 func (w *Writer) run() {
-	var batch []byte
 	reports := time.NewTicker(reportInterval)
 	defer reports.Stop()
 	for {
 		select {
 		case <-reports.C:
 			w.report()
-			continue
 		case line := <-w.lines:
-			batch = append(batch, line...)
+			time.Sleep(batchTime)
+			w.drain(line)
 		case done := <-w.flushes:
-			w.drain(batch)
-			batch = batch[:0]
+			w.drain(nil)
 			close(done)
-			continue
-		}
-		time.Sleep(batchTime)
-		for len(batch) < batchBytes {
-			select {
-			case line := <-w.lines:
-				batch = append(batch, line...)
-				continue
-			default:
-			}
-			break
 		}
-		w.write(batch)
-		batch = batch[:0]
 	}
 }
 
@@ -128,10 +115,16 @@
 	}
 }
 
-func (w *Writer) drain(batch []byte) {
+// drain writes a first line and all that are queued.
+func (w *Writer) drain(first []byte) {
+	batch := append(make([]byte, 0, batchBytes), first...)
 	for {
 		select {
 		case line := <-w.lines:
+			if len(batch)+len(line) > batchBytes {
+				w.write(batch)
+				batch = batch[:0]
+			}
 			batch = append(batch, line...)
 		default:
 			w.write(batch)
--- a/state/loglines/loglines_test.go
+++ b/state/loglines/loglines_test.go
@@ -52,6 +52,48 @@
 	}
 }
 
+// Lines are written whole, and never more at once than a pipe takes untorn.
+func TestWritesAreOfWholeLines(t *testing.T) {
+	const pipeTakes = 4096
+	to := &sizes{}
+	w := &loglines.Writer{To: to}
+	line := strings.Repeat("x", 270) + "\n"
+	for range 500 {
+		_, _ = w.Write([]byte(line))
+	}
+	for to.total() < 500*len(line) {
+		w.Flush()
+	}
+	for _, n := range to.all {
+		if n > pipeTakes || n%len(line) != 0 {
+			t.Errorf("wrote %d bytes at once, of lines of %d", n, len(line))
+		}
+	}
+}
+
+// sizes keeps the lengths of what is written.
+type sizes struct {
+	mu  sync.Mutex
+	all []int
+}
+
+func (s *sizes) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, len(p))
+	return len(p), nil
+}
+
+func (s *sizes) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, n := range s.all {
+		sum += n
+	}
+	return sum
+}
+
 // A reader that stops costs lines, not time: no write waits for it.
 func TestStoppedReaderDelaysNothing(t *testing.T) {
 	to := &stuck{released: make(chan struct{})}
