routing: order requests of equal workspaces by their routes

Cause: a workspace's priority goes before the route's, and on both sites every workspace has one of two. Then all kinds of request had one urgency, and engines read prompts of 17,000 tokens before those of chat that came a moment later. Now equal workspaces are ordered by the routes' priorities; workspaces still go first.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -136,7 +136,7 @@
 		Address:   chosen.Address,
 		Budget:    time.Until(j.deadline),
 		Workspace: j.workspaceName(),
-		Urgency:   j.urgency(),
+		Urgency:   j.urgency,
 		LastEvent: lastEvent,
 		Once:      j.route.Repeat == routing.AtMostOnce && !j.route.Streaming,
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -76,8 +76,10 @@
 	expected time.Duration
 	// status is that of an answer of the router's own; 0 where it gave none.
 	status int
-	// version is that of the routing table.
+	// version is that of the routing table, and urgency what engines order
+	// requests by.
 	version id.ManifestVersion
+	urgency int
 }
 
 // ServeHTTP serves one request of a caller.
@@ -117,10 +119,11 @@
 	if j.workspace, known = table.Workspace(read.Key); !known && !j.route.Public {
 		return j, unknownKey
 	}
+	j.urgency = table.Urgency(j.route, j.workspace, choice.Urgencies)
 	j.service = j.route.Target(rand.Float64())
 	j.deadline = j.arrived.Add(j.patience())
 	klog.InfoS("received", "request", j.ID, "route", j.route.Name, "service", j.service, "workspace", j.workspaceName(),
-		"urgency", j.urgency(), "version", j.version, "left", j.patience(), "caller", request.RemoteAddr)
+		"urgency", j.urgency, "version", j.version, "left", j.patience(), "caller", request.RemoteAddr)
 	if !r.fits(j) {
 		return j, instanceLeave
 	}
@@ -261,10 +264,6 @@
 	return j.workspace.Name
 }
 
-// urgency is the rank that an engine orders requests by.
-func (j *job) urgency() int {
-	return min(max(j.route.PriorityFor(j.workspace), 0), choice.Urgencies-1)
-}
 
 // choose takes an upstream for the next attempt.
 func (j *job) choose() (choice.Choice, choice.Ticket, choice.Refusal) {
@@ -282,7 +281,7 @@
 		Parts:     j.Parts,
 		Objective: j.route.Objective,
 		Pause:     j.route.PauseObjective,
-		Urgency:   j.urgency(),
+		Urgency:   j.urgency,
 		Excluded:  j.tried,
 		Returned:  len(j.tried) > 0 || r.returns.returned(j.digest),
 
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -33,6 +33,8 @@
 	hosts map[string][]*Route
 	// keys maps each key to its workspace; nil where no keys are asked for.
 	keys map[string]*Workspace
+	// ranks holds all that occur, in order.
+	ranks []rank
 }
 
 // Route leads the requests below a path to a service.
@@ -127,13 +129,13 @@
 	for i := range r.Routes {
 		t.add(&r.Routes[i])
 	}
-	if !r.Keyed {
-		return t
-	}
-	t.keys = make(map[string]*Workspace, len(r.Workspaces))
-	for key, workspace := range r.Workspaces {
-		t.keys[key] = &workspace
+	if r.Keyed {
+		t.keys = make(map[string]*Workspace, len(r.Workspaces))
+		for key, workspace := range r.Workspaces {
+			t.keys[key] = &workspace
+		}
 	}
+	t.ranks = t.allRanks()
 	return t
 }
 
@@ -177,15 +179,6 @@
 	return workspace, known
 }
 
-// PriorityFor returns the rank of a request of a workspace, which may be nil, on
-// the route.
-func (r *Route) PriorityFor(w *Workspace) int {
-	if w != nil && w.Priority != nil {
-		return *w.Priority
-	}
-	return r.Priority
-}
-
 // Target returns the service for a draw from [0, 1).
 func (r *Route) Target(draw float64) id.Service {
 	total := 0.0
--- a/state/routing/routing_test.go
+++ b/state/routing/routing_test.go
@@ -45,7 +45,7 @@
 
 func TestKeys(t *testing.T) {
 	w, known := table().Workspace("k")
-	if !known || w.Name != "w" {
+	if !known || w.Name != "w" || *w.Priority != 0 {
 		t.Errorf("workspace %v, %t", w, known)
 	}
 	if _, known := table().Workspace("other"); known {
@@ -54,12 +54,62 @@
 	if _, known := routing.New(routing.Rules{}).Workspace("any"); !known {
 		t.Error("a table without keys asks for one")
 	}
-	route := table().Match("a", "/q")
-	if got := route.PriorityFor(w); got != 0 {
-		t.Errorf("priority %d, want that of the workspace", got)
+}
+
+// Pattern: one workspace sends long prompts and chat at once. The priority of
+// the workspace goes first; within it the routes keep their order, so that an
+// engine does not read the long prompts first.
+func TestUrgencyIsByWorkspaceThenByRoute(t *testing.T) {
+	one := []routing.Target{{Service: "s", Weight: 1}}
+	first, second := 0, 1
+	rules := routing.Rules{
+		Routes: []routing.Route{
+			{Name: "brief", Host: "a", Prefix: "/b", Targets: one, Priority: 0},
+			{Name: "chat", Host: "a", Prefix: "/c", Targets: one, Priority: 1},
+			{Name: "survey", Host: "a", Prefix: "/s", Targets: one, Priority: 2},
+		},
+		Keyed: true,
+		Workspaces: map[string]routing.Workspace{
+			"k0": {Name: "w0", Priority: &first}, "k1": {Name: "w1", Priority: &second}, "k2": {Name: "w2"},
+		},
+	}
+	table := routing.New(rules)
+	const levels = 10
+	last := -1
+	for _, c := range []struct{ key, path string }{
+		{"k0", "/b"}, {"k0", "/c"}, {"k0", "/s"}, {"k1", "/b"}, {"k1", "/c"}, {"k1", "/s"}, {"k2", "/s"},
+	} {
+		w, _ := table.Workspace(c.key)
+		got := table.Urgency(table.Match("a", c.path), w, levels)
+		if got <= last || got >= levels {
+			t.Errorf("%s of %s has urgency %d, the one before it %d", c.path, c.key, got, last)
+		}
+		last = got
+	}
+	// A workspace without a priority has that of the route.
+	w, _ := table.Workspace("k2")
+	if got, want := table.Urgency(table.Match("a", "/b"), w, levels), table.Urgency(table.Match("a", "/b"), nil, levels); got != want {
+		t.Errorf("urgency %d without a workspace's priority, want %d", got, want)
+	}
+}
+
+func TestUrgencyOfManyRanks(t *testing.T) {
+	one := []routing.Target{{Service: "s", Weight: 1}}
+	var rules routing.Rules
+	for i := range 37 {
+		rules.Routes = append(rules.Routes, routing.Route{Host: "a", Prefix: "/" + string(rune('A'+i)), Targets: one, Priority: i})
+	}
+	table := routing.New(rules)
+	last := 0
+	for i := range 37 {
+		got := table.Urgency(table.Match("a", "/"+string(rune('A'+i))), nil, 10)
+		if got < last || got > last+1 {
+			t.Errorf("priority %d has urgency %d, the one before it %d", i, got, last)
+		}
+		last = got
 	}
-	if got := route.PriorityFor(nil); got != 2 {
-		t.Errorf("priority %d, want that of the route", got)
+	if last != 9 {
+		t.Errorf("the last of 37 has urgency %d", last)
 	}
 }
 
