trail: name pauses of the instance and the loss of the upstream in explain

The instance logs a pause of a second or more once it runs again, and explain adds the lines that befell the request; a caller whose time was over is told from one that gave up.

--- a/coordination/pulse/pulse.go
+++ b/coordination/pulse/pulse.go
@@ -95,6 +95,8 @@
 	// exchanges in a row that failed there.
 	named    map[string]int
 	lastTick time.Time
+	// paused is how long this process did not run before the last tick.
+	paused time.Duration
 	// told holds the instances that Changes last called live.
 	told map[id.Instance]Record
 }
@@ -148,14 +150,20 @@
 func (m *Machine) absorbPause(now time.Time) {
 	gap := now.Sub(m.lastTick)
 	m.lastTick = now
+	m.paused = 0
 	if gap < pauseGap {
 		return
 	}
+	m.paused = gap
 	for _, p := range m.peers {
 		p.heard = p.heard.Add(gap)
 	}
 }
 
+// Paused returns how long this process did not run before the last tick; 0 where
+// that was not longer than usual.
+func (m *Machine) Paused() time.Duration { return m.paused }
+
 // targets draws addresses of instances, and of places where one may be.
 func (m *Machine) targets(limit int) []string {
 	addresses := slices.Collect(maps.Keys(m.named))
--- a/coordination/pulse/pulse_test.go
+++ b/coordination/pulse/pulse_test.go
@@ -180,6 +180,18 @@
 	}
 }
 
+func TestPauseIsToldOnce(t *testing.T) {
+	m := newCluster(t, 1).machines[address(0)]
+	now := time.Unix(2000, 0)
+	for i, want := range []time.Duration{0, 0, 3 * time.Second, 0} {
+		now = now.Add(max(want, pulse.Interval))
+		m.Step(now, pulse.Ticked{})
+		if i > 0 && m.Paused() != want {
+			t.Errorf("tick %d: paused for %s, want %s", i, m.Paused(), want)
+		}
+	}
+}
+
 // An instance that is lost and comes back is told of once each time.
 func TestChangesAreToldOnce(t *testing.T) {
 	c := newCluster(t, 3)
--- a/router/peers.go
+++ b/router/peers.go
@@ -66,10 +66,13 @@
 	return r.pulse.Step(time.Now(), ev)
 }
 
-// logPeers logs which instances became live, and which no longer are.
+// logPeers logs that this instance did not run, which instances became live, and which no longer are.
 func (r *Router) logPeers(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if paused := r.pulse.Paused(); paused > 0 {
+		klog.InfoS("instance paused", "for", paused)
+	}
 	for _, c := range r.pulse.Changes(now) {
 		if c.Live {
 			klog.InfoS("peer live", "peer", c.Instance, "address", c.PeerAddress, "failure_domain", c.FailureDomain)
--- a/state/trail/trail.go
+++ b/state/trail/trail.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -16,8 +17,15 @@
 	"samphirehead/state/fault"
 )
 
-// maxLine bounds one log line.
-const maxLine = 1 << 20
+const (
+	// maxLine bounds one log line.
+	maxLine = 1 << 20
+	// lateSlack is how much before its time is over a caller may go because of
+	// that.
+	lateSlack = 50 * time.Millisecond
+	// clock is how times are written.
+	clock = "15:04:05.000"
+)
 
 // Event is one log line.
 type Event struct {
@@ -50,6 +58,9 @@
 	Age       time.Duration `json:"age,omitempty"`
 	Spent     float64       `json:"spent,omitempty"`
 	Allowed   float64       `json:"allowed,omitempty"`
+	For       time.Duration `json:"for,omitempty"`
+	Belief    string        `json:"belief,omitempty"`
+	Why       string        `json:"cause,omitempty"`
 	Again     bool          `json:"again,omitempty"`
 }
 
@@ -89,11 +100,18 @@
 			p.Events = append(p.Events, e)
 		}
 	}
-	slices.SortStableFunc(p.Events, func(a, b Event) int { return a.Time.Compare(b.Time) })
+	slices.SortStableFunc(p.Events, byTime)
 	p.Cause = cause(p.Events)
+	for _, e := range around(events, p.Events) {
+		p.Events = append(p.Events, e)
+		p.Cause += "; " + e.words()
+	}
+	slices.SortStableFunc(p.Events, byTime)
 	return p
 }
 
+func byTime(a, b Event) int { return a.Time.Compare(b.Time) }
+
 // causes says what the reasons of ended requests mean.
 var causes = map[string]string{
 	"no_routes":        "the instance had no configuration yet; nothing ran",
@@ -139,8 +157,22 @@
 	return text
 }
 
+// waited returns how long the caller was said to wait; very long where no line
+// says it.
+func waited(events []Event) time.Duration {
+	for _, e := range events {
+		if e.Message == "received" {
+			return e.Left
+		}
+	}
+	return math.MaxInt64
+}
+
 func endedCause(events []Event, e Event) string {
 	text := cmp.Or(causes[e.Reason], e.Reason)
+	if e.Reason == "caller_left" && e.After >= waited(events)-lateSlack {
+		text = "the caller's time was over, and it had gone"
+	}
 	if e.Status > 0 {
 		text = fmt.Sprintf("answered %d: %s", e.Status, text)
 	}
@@ -159,7 +191,7 @@
 func (p Path) String() string {
 	var b strings.Builder
 	for _, e := range p.Events {
-		fmt.Fprintf(&b, "%s  %-16s %s\n", e.Time.Format("15:04:05.000"), e.Instance, e.words())
+		fmt.Fprintf(&b, "%s  %-16s %s\n", e.Time.Format(clock), e.Instance, e.words())
 	}
 	fmt.Fprintf(&b, "cause: %s\n", p.Cause)
 	return b.String()
@@ -185,6 +217,12 @@
 		return answeredCause(e)
 	case "ended":
 		return fmt.Sprintf("ended after %s: %s", e.After.Round(time.Millisecond), e.Reason)
+	case "instance paused":
+		return fmt.Sprintf("%s did not run for %s meanwhile", e.Instance, e.For.Round(time.Millisecond))
+	case "upstream gone":
+		return fmt.Sprintf("%s left the list of upstreams at %s", e.Upstream, e.Time.Format(clock))
+	case "upstream judged":
+		return fmt.Sprintf("%s was kept away from at %s: %s", e.Upstream, e.Time.Format(clock), e.Why)
 	}
 	return e.Message
 }
--- a/state/trail/trail_test.go
+++ b/state/trail/trail_test.go
@@ -19,13 +19,17 @@
 {"time":"2026-12-04T10:00:14Z","msg":"ended","instance":"b","request":"r5","status":503,"reason":"instance_leaving","outcome":"not_run"}
 {"time":"2026-12-04T10:00:15Z","msg":"received","instance":"c","request":"r7","route":"notes","service":"s","workspace":"w","urgency":2,"version":4,"left":4000000000}
 {"time":"2026-12-04T10:00:15.001Z","msg":"ended","instance":"c","request":"r7","status":503,"reason":"overloaded","outcome":"not_run","expected":2500000000}
+{"time":"2026-12-04T10:00:16Z","msg":"received","instance":"c","request":"r8","left":1000000000}
+{"time":"2026-12-04T10:00:16.1Z","msg":"ended","instance":"c","request":"r8","reason":"caller_left","after":100000000}
+{"time":"2026-12-04T10:00:16Z","msg":"received","instance":"c","request":"r9","left":1000000000}
+{"time":"2026-12-04T10:00:17Z","msg":"ended","instance":"c","request":"r9","reason":"caller_left","after":998000000}
 {"broken
 `
 
 func events(t *testing.T) []trail.Event {
 	t.Helper()
 	events, err := trail.Read("test", strings.NewReader(logs))
-	if err != nil || len(events) != 9 {
+	if err != nil || len(events) != 13 {
 		t.Fatalf("read %d events, %v", len(events), err)
 	}
 	return events
@@ -42,6 +46,8 @@
 		"r4": {1, `the log of b ends after "sent" at u3`},
 		"r5": {1, "nothing ran"},
 		"r6": {0, "no line"},
+		"r8": {2, "the caller had gone"},
+		"r9": {2, "the caller's time was over"},
 		"r7": {2, "nothing ran; it would have begun after 2.5s"},
 	} {
 		path := trail.Explain(events(t), request)
@@ -62,7 +68,7 @@
 func TestSummary(t *testing.T) {
 	s := trail.Summarize(events(t), 10*time.Second)
 	for cause, want := range map[string][2]int{
-		"answered": {1, 0}, "outcome_unknown": {1, 0}, "upstream_500": {0, 1}, "instance_leaving": {0, 1}, "overloaded": {0, 1},
+		"answered": {1, 0}, "outcome_unknown": {1, 0}, "upstream_500": {0, 1}, "instance_leaving": {0, 1}, "overloaded": {0, 1}, "caller_left": {0, 2},
 	} {
 		if got := s.Counts[cause]; len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
 			t.Errorf("%s: %v, want %v", cause, got, want)
@@ -80,3 +86,49 @@
 		t.Error(err)
 	}
 }
+
+// A request that its instance had while it did not run is told of the pause,
+// and no other is.
+func TestExplainNamesPauses(t *testing.T) {
+	const paused = `
+{"time":"2026-12-04T10:00:00Z","msg":"sent","instance":"a","request":"r1","upstream":"u1"}
+{"time":"2026-12-04T10:00:01Z","msg":"ended","instance":"a","request":"r2","reason":"timed_out"}
+{"time":"2026-12-04T10:00:05Z","msg":"instance paused","instance":"a","for":2500000000}
+{"time":"2026-12-04T10:00:04.9Z","msg":"ended","instance":"a","request":"r1","reason":"caller_left"}
+{"time":"2026-12-04T10:00:04Z","msg":"sent","instance":"b","request":"r3","upstream":"u1"}
+{"time":"2026-12-04T10:00:06Z","msg":"ended","instance":"b","request":"r3","reason":"caller_left"}
+`
+	events, err := trail.Read("test", strings.NewReader(paused))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for request, want := range map[string]bool{"r1": true, "r2": false, "r3": false} {
+		path := trail.Explain(events, request)
+		if got := strings.Contains(path.Cause, "a did not run for 2.5s"); got != want {
+			t.Errorf("%s: cause %q", request, path.Cause)
+		}
+	}
+}
+
+// A request whose upstream fell silent is told when that one was given up.
+func TestExplainNamesTheLossOfTheUpstream(t *testing.T) {
+	const silent = `
+{"time":"2026-12-04T10:00:00Z","msg":"sent","instance":"a","request":"r1","upstream":"u1"}
+{"time":"2026-12-04T10:00:01Z","msg":"ended","instance":"a","request":"r1","reason":"caller_left"}
+{"time":"2026-12-04T10:00:02Z","msg":"upstream judged","instance":"a","upstream":"u2","belief":"ejected","cause":"unreached"}
+{"time":"2026-12-04T10:00:03Z","msg":"upstream judged","instance":"a","upstream":"u1","belief":"ejected","cause":"failures_in_row"}
+{"time":"2026-12-04T10:00:04Z","msg":"upstream gone","instance":"a","upstream":"u1"}
+{"time":"2026-12-04T10:00:00Z","msg":"sent","instance":"a","request":"r2","upstream":"u2"}
+{"time":"2026-12-04T10:00:00.1Z","msg":"answered","instance":"a","request":"r2","upstream":"u2","status":200}
+`
+	events, err := trail.Read("test", strings.NewReader(silent))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if path := trail.Explain(events, "r1"); !strings.HasSuffix(path.Cause, "u1 was kept away from at 10:00:03.000: failures_in_row") {
+		t.Errorf("cause %q", path.Cause)
+	}
+	if path := trail.Explain(events, "r2"); strings.Contains(path.Cause, "kept away") {
+		t.Errorf("cause %q of an answered request", path.Cause)
+	}
+}
