--- a/router/serve.go
+++ b/router/serve.go
@@ -264,7 +264,6 @@
 	return j.workspace.Name
 }
 
-
 // choose takes an upstream for the next attempt.
 func (j *job) choose() (choice.Choice, choice.Ticket, choice.Refusal) {
 	r := j.router
