placement: remove what no instance runs

Placement of models was built and tested, and never started: requests go by the models that a manifest or the users' platform gives an engine, and the platform has no orders that we use. Gone are the machine, its driver, the orders to engines with the stand-in's side of them (also its export and import of KV memory, which nothing called), and the manifest key checks_fencing, which had no effect any more; the parser names it as unknown with its line. The lease stays: one instance at a time expires claims. Tests that went: those of the removed code only; the case of an engine's key at a service is held by resumes now. Left: the lease's MayOrder is asked by tests only; it goes with claims.

--- a/bench/cluster/trust.go
+++ b/bench/cluster/trust.go
@@ -75,7 +75,6 @@
 			DecodeTokensPerSecond:  u.Capacity.DecodeTokensPerSecond,
 			PrefillTokensPerSecond: u.Capacity.PrefillTokensPerSecond,
 			KVTokens:               int(u.Capacity.KVTokens),
-			ChecksFencing:          u.ChecksFencing,
 		}
 		for _, m := range u.Models {
 			e.Models = append(e.Models, string(m))
--- a/bench/report.go
+++ b/bench/report.go
@@ -39,8 +39,6 @@
 	Faults map[fault.Kind]int
 	// Crashes counts crashes of engines by the request that caused them.
 	Crashes map[string]int
-	// OutdatedOrders counts orders that took effect after a newer one.
-	OutdatedOrders int
 	// Keys counts the at-most-once calls by what their callers believe.
 	Keys map[answer.Outcome]int
 	// SlowestNotRun is the longest time from sending an at-most-once call to
@@ -64,11 +62,6 @@
 		for _, crash := range truth.Crashes {
 			r.Crashes[crash.Match]++
 		}
-		for _, o := range truth.Orders {
-			if o.Outdated {
-				r.OutdatedOrders++
-			}
-		}
 	}
 	var others, recovered []*load.Record
 	for _, record := range records {
@@ -115,7 +108,7 @@
 // Print writes the report for people.
 func (r *Report) Print(w io.Writer) {
 	fmt.Fprintf(w, "faults that struck:%s\n", counts(r.Faults))
-	fmt.Fprintf(w, "engine crashes by match:%s; outdated orders that took effect: %d\n", counts(r.Crashes), r.OutdatedOrders)
+	fmt.Fprintf(w, "engine crashes by match:%s\n", counts(r.Crashes))
 	fmt.Fprintf(w, "at-most-once calls by outcome:%s; slowest answer not_run after %d ms\n", counts(r.Keys), r.SlowestNotRun.Milliseconds())
 	if r.AppliesTried > 0 {
 		fmt.Fprintf(w, "manifests tried %d, accepted %d, races with two winners %d, slowest spread %d ms\n",
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -185,16 +185,12 @@
 	e.attempts = append(e.attempts, a.stream.attempt)
 }
 
-// readPrefix shortens the prefill by what is imported or cached.
+// readPrefix shortens the prefill by what is cached.
 func (e *Engine) readPrefix(s *stream, request *completionRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	share := e.cache.read(time.Now().Add(e.EventDelay), request.Model, request.Messages)
 	s.prefillLeft -= share * float64(s.prompt)
-	if tokens, ok := e.imported[s.request]; ok {
-		s.prefillLeft = float64(max(0, s.offset-tokens))
-		delete(e.imported, s.request)
-	}
 }
 
 // progress waits for more than next tokens or the end; it reports false when
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -24,7 +24,6 @@
 	DefaultEventDelay             = 500 * time.Millisecond
 	DefaultEventGap               = 50
 	DefaultCacheBlocks            = 4096
-	DefaultLoadTime               = 300 * time.Millisecond
 )
 
 // loneShare is how many times its even share of the decode rate one stream can
@@ -65,10 +64,6 @@
 	EventGap int `yaml:"event_gap"`
 	// CacheBlocks bounds the prefix cache.
 	CacheBlocks int `yaml:"cache_blocks"`
-	// ChecksFencing refuses orders with an old fencing number.
-	ChecksFencing bool `yaml:"checks_fencing"`
-	// LoadTime is how long the loading of a model takes.
-	LoadTime time.Duration `yaml:"load_time"`
 	// Faults are in effect; they may be changed at any time.
 	Faults fault.Set `yaml:"-"`
 
@@ -76,17 +71,15 @@
 	listener listener.Listener
 	handler  http.Handler
 
-	mu     sync.Mutex
-	batch  batch
-	cache  cache
-	placed placement
+	mu    sync.Mutex
+	batch batch
+	cache cache
 	// reports holds the load history, oldest first.
 	reports []report
 	// frozen is what a stale report shows.
 	frozen    report
 	attempts  []*Attempt
 	crashes   []Crash
-	imported  map[string]int
 	downUntil time.Time
 }
 
@@ -94,9 +87,7 @@
 	e.once.Do(func() {
 		e.setDefaults()
 		e.batch.live = map[string]*stream{}
-		e.imported = map[string]int{}
 		e.cache.prepare(e.CacheBlocks, e.EventGap)
-		e.placed.prepare(e.Models, e.Role)
 		e.Faults.OnAdd = e.faultAdded
 		e.handler = e.routes()
 		e.listener.Address = e.Address
@@ -115,7 +106,6 @@
 	setDefault(&e.EventDelay, DefaultEventDelay)
 	setDefault(&e.EventGap, DefaultEventGap)
 	setDefault(&e.CacheBlocks, DefaultCacheBlocks)
-	setDefault(&e.LoadTime, DefaultLoadTime)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -152,9 +142,6 @@
 	services.HandleFunc("POST /v1/cancel/{request}", e.serveCancel)
 	services.HandleFunc("GET /v1/load", e.serveLoad)
 	services.HandleFunc("GET /v1/cache_events", e.serveCacheEvents)
-	services.HandleFunc("POST /v1/orders", e.serveOrder)
-	services.HandleFunc("GET /v1/kv/{request}", e.serveExportKV)
-	services.HandleFunc("PUT /v1/kv/{request}", e.serveImportKV)
 	all := http.NewServeMux()
 	all.Handle("/faults", &e.Faults)
 	all.HandleFunc("GET /truth", e.serveTruth)
@@ -201,7 +188,6 @@
 		e.end(now, s, EndCrashed)
 	}
 	e.cache.clear()
-	clear(e.imported)
 	e.mu.Unlock()
 	e.listener.Down(d)
 }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -213,45 +213,6 @@
 	waitFor(t, func() bool { return dial() == nil })
 }
 
-func TestOrders(t *testing.T) {
-	cases := map[string]struct {
-		checks   bool
-		status   int
-		outdated int
-	}{
-		"with fencing":    {true, http.StatusConflict, 0},
-		"without fencing": {false, http.StatusOK, 1},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			e := &engine.Engine{Models: []string{"m"}, ChecksFencing: c.checks, LoadTime: time.Nanosecond}
-			url := run(t, e)
-			if status, _ := mustSend(t, url+"/v1/orders", `{"fencing":7,"kind":"load","model":"n"}`); status != http.StatusOK {
-				t.Fatalf("status %d", status)
-			}
-			if status, _ := mustSend(t, url+"/v1/orders", `{"fencing":6,"kind":"unload","model":"m"}`); status != c.status {
-				t.Errorf("old order: status %d", status)
-			}
-			outdated := 0
-			for _, o := range e.Truth().Orders {
-				if o.Outdated {
-					outdated++
-				}
-			}
-			if outdated != c.outdated {
-				t.Errorf("%d outdated orders took effect", outdated)
-			}
-			want := http.StatusOK
-			if !c.checks {
-				want = http.StatusNotFound
-			}
-			if status, _ := mustSend(t, url+"/v1/chat/completions", chat("hello")); status != want {
-				t.Errorf("completion: status %d", status)
-			}
-		})
-	}
-}
-
 func TestCacheEventsHaveGaps(t *testing.T) {
 	e := &engine.Engine{EventDelay: time.Nanosecond, EventGap: 2, Fast: true}
 	url := run(t, e)
@@ -291,19 +252,3 @@
 	e.Faults.Clear()
 	waitFor(t, func() bool { return strings.Contains(load(), `"running":1`) })
 }
-
-func TestImportedKVSkipsThePrompt(t *testing.T) {
-	e := &engine.Engine{PrefillTokensPerSecond: 1}
-	url := run(t, e)
-	r, _ := http.NewRequestWithContext(t.Context(), http.MethodPut, url+"/v1/kv/r1", strings.NewReader(`{"request":"r1","prompt_tokens":1000000,"tokens":3}`))
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = response.Body.Close()
-	// Without the import the prompt takes eleven days.
-	status, got := mustSend(t, url+"/v1/chat/completions", chat("answer_tokens=4 prompt_tokens=1000000"), "X-Request-Id", "r1", "X-Resume-Offset", "3")
-	if status != http.StatusOK || !strings.Contains(got, "id: 3\n") {
-		t.Errorf("%d %s", status, got)
-	}
-}
--- a/standin/engine/truth.go
+++ b/standin/engine/truth.go
@@ -47,7 +47,6 @@
 // Truth is what really happened.
 type Truth struct {
 	Requests     []Attempt          `json:"requests"`
-	Orders       []AppliedOrder     `json:"orders"`
 	Crashes      []Crash            `json:"crashes"`
 	FaultsStruck map[fault.Kind]int `json:"faults_struck"`
 }
@@ -59,7 +58,6 @@
 	defer e.mu.Unlock()
 	truth := Truth{
 		Requests:     make([]Attempt, 0, len(e.attempts)),
-		Orders:       slices.Clone(e.placed.applied),
 		Crashes:      slices.Clone(e.crashes),
 		FaultsStruck: e.Faults.Struck(),
 	}
@@ -127,6 +125,18 @@
 	return visible
 }
 
+// serves reports whether the engine has a model; one without models has all.
+func (e *Engine) serves(model string) bool {
+	return len(e.Models) == 0 || slices.Contains(e.Models, model)
+}
+
+// loaded returns the models that the engine has, in order.
+func (e *Engine) loaded() []string {
+	models := append([]string{}, e.Models...)
+	slices.Sort(models)
+	return models
+}
+
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	_, stale := e.Faults.Active(fault.StaleReport)
@@ -135,7 +145,6 @@
 	if stale {
 		visible = e.frozen
 	}
-	models, role := e.placed.loaded(), e.placed.role
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, struct {
 		AsOfMSAgo int64    `json:"as_of_ms_ago"`
@@ -144,5 +153,5 @@
 		KVUsed    int      `json:"kv_used_tokens"`
 		Models    []string `json:"models"`
 		Role      string   `json:"role"`
-	}{now.Sub(visible.at).Milliseconds(), visible.running, visible.waiting, visible.kvUsed, models, role})
+	}{now.Sub(visible.at).Milliseconds(), visible.running, visible.waiting, visible.kvUsed, e.loaded(), e.Role})
 }
--- a/state/manifest/check.go
+++ b/state/manifest/check.go
@@ -206,7 +206,6 @@
 func (c *checker) checkServiceWorker(field string, upstream Upstream) {
 	reference(c, field+".service", "service", upstream.Service, c.services, nil)
 	c.absent(field+".models", len(upstream.Models) > 0)
-	c.absent(field+".checks_fencing", upstream.ChecksFencing)
 	c.absent(field+".resumes", upstream.Resumes)
 	capacity := upstream.Capacity
 	c.absent(field+".capacity.prefill_tokens_per_second", capacity.PrefillTokensPerSecond != 0)
--- a/state/manifest/manifest.go
+++ b/state/manifest/manifest.go
@@ -90,9 +90,6 @@
 	Service id.Service `yaml:"service,omitempty"`
 	// Capacity bounds the work in progress.
 	Capacity Capacity `yaml:"capacity" jsonschema:"required"`
-	// ChecksFencing says that the engine refuses orders with an old
-	// fencing number.
-	ChecksFencing bool `yaml:"checks_fencing,omitempty"`
 	// Resumes says that the engine can go on with an answer at an offset.
 	Resumes bool `yaml:"resumes,omitempty"`
 }
