forward: give up answers and events that do not end

Cause: an event without an end was kept without bound, and an answer over 32 MB was cut there and passed on as if it were whole. Both are errors now, with tests. With the old code the test of the answer failed (no error), that of the event had not ended after 40 s.

--- a/transport/forward/events.go
+++ b/transport/forward/events.go
@@ -7,7 +7,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-const eventBytes = 16 << 10
+const (
+	eventBytes = 16 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 4 << 20
+)
 
 // Events reads a stream in whole events.
 type Events struct {
@@ -35,6 +39,9 @@
 		if e.ended != nil {
 			return e.rest()
 		}
+		if len(e.pending) > maxEventBytes {
+			return nil, "", ErrTooLong
+		}
 		n, err := e.Body.Read(e.chunk)
 		e.pending = append(e.pending, e.chunk[:n]...)
 		e.ended = err
--- a/transport/forward/events_test.go
+++ b/transport/forward/events_test.go
@@ -63,3 +63,28 @@
 		}
 	})
 }
+
+// endless sends bytes that end no event.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+func TestEndlessEventIsGivenUp(t *testing.T) {
+	events := forward.Events{Body: endless{}}
+	if _, _, err := events.Next(); !errors.Is(err, forward.ErrTooLong) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// A part of an answer that is too long is not taken for the whole.
+func TestEndlessAnswerIsGivenUp(t *testing.T) {
+	response := forward.Response{Body: io.NopCloser(endless{})}
+	if _, err := response.ReadWhole(); !errors.Is(err, forward.ErrTooLong) {
+		t.Errorf("error %v", err)
+	}
+}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -43,6 +43,9 @@
 // ErrForeign marks answers that belong to another request or upstream.
 var ErrForeign = errors.New("answer does not belong to the request")
 
+// ErrTooLong says that an upstream sent more than is kept of an answer or event.
+var ErrTooLong = errors.New("answer too long")
+
 // Client sends requests to upstreams. Its exported fields are set before first
 // use. It is safe for concurrent use.
 type Client struct {
@@ -111,9 +114,13 @@
 	return c.kept
 }
 
-// ReadWhole reads the whole body of an answer and closes it.
+// ReadWhole reads the whole body of an answer and closes it. A longer one than
+// maxAnswerBytes is an error: a part of it would look whole to the caller.
 func (r *Response) ReadWhole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = ErrTooLong
+	}
 	return body, errors.CombineErrors(err, r.Body.Close())
 }
 
