--- a/router/peers.go
+++ b/router/peers.go
@@ -66,7 +66,8 @@
 	return r.pulse.Step(time.Now(), ev)
 }
 
-// logPeers logs that this instance did not run, which instances became live, and which no longer are.
+// logPeers logs that this instance did not run, and which others became live or
+// no longer are.
 func (r *Router) logPeers(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/router/serve.go
+++ b/router/serve.go
@@ -239,7 +239,8 @@
 		})
 	}
 	klog.InfoS("ended", "request", j.ID, "status", j.status, "reason", why, "outcome", outcome,
-		"route", j.routeName(), "workspace", j.workspaceName(), "attempts", len(j.tried), "ran", j.ran, "after", time.Since(j.arrived), "expected", j.expected)
+		"route", j.routeName(), "workspace", j.workspaceName(), "attempts", len(j.tried), "ran", j.ran,
+		"after", time.Since(j.arrived), "expected", j.expected)
 }
 
 func (j *job) routeName() string {
@@ -303,6 +304,7 @@
 		return true
 	}
 	spent, allowed := r.share.Budget(now, j.service, instances)
-	klog.InfoS("retry budget spent", "request", j.ID, "service", j.service, "spent", spent, "allowed", allowed, "instances", instances)
+	klog.InfoS("retry budget spent", "request", j.ID, "service", j.service,
+		"spent", spent, "allowed", allowed, "instances", instances)
 	return false
 }
--- a/state/metrics/metrics.go
+++ b/state/metrics/metrics.go
@@ -187,8 +187,9 @@
 		Workspaces:  views(r.workspaces),
 		Upstreams:   views(r.upstreams),
 		Predictions: make(map[id.Service]predictionView, len(r.predictions)),
-		Counters:    maps.Clone(r.counters),
+		Counters:    make(map[string]int64, len(r.counters)),
 	}
+	maps.Copy(view.Counters, r.counters)
 	for service, p := range r.predictions {
 		view.Predictions[service] = p.view()
 	}
--- a/state/routing/rank.go
+++ b/state/routing/rank.go
@@ -28,8 +28,12 @@
 			workspaces[*w.Priority] = w
 		}
 	}
-	var ranks []rank
+	routes := map[int]*Route{}
 	for r := range t.Routes() {
+		routes[r.Priority] = r
+	}
+	var ranks []rank
+	for _, r := range routes {
 		ranks = append(ranks, rankOf(r, nil))
 		for _, w := range workspaces {
 			ranks = append(ranks, rankOf(r, w))
