platform: bound connecting by a time of its own

Cause: the dialer's bound was the client's default for calls, 1 ms in the test, so a caller that could wait was cut short whenever connecting took longer. Ruled out: the server's pause, which the context's deadline covers. The test now sets the default to 1 ns and failed each time before; it passes.

--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -32,6 +32,9 @@
 	tripAfterFailures = 5
 	idleConnections   = 64
 	burst             = 250 * time.Millisecond
+	// connectTimeout bounds the making of a connection, whose user may have
+	// given up by then.
+	connectTimeout = 5 * time.Second
 )
 
 // ErrUnavailable marks errors of a service that is down, over its rate, or
@@ -79,7 +82,7 @@
 	c.HedgeAfter = orDefault(c.HedgeAfter, DefaultHedgeAfter)
 	c.OpenFor = orDefault(c.OpenFor, DefaultOpenFor)
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: c.Timeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 	}}
--- a/transport/platform/client_test.go
+++ b/transport/platform/client_test.go
@@ -96,7 +96,7 @@
 		time.Sleep(50 * time.Millisecond)
 		status(200, `{"versions":[1]}`)(w, r)
 	})
-	c.Timeout = time.Millisecond
+	c.Timeout = time.Nanosecond
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	if got, ok := c.Write(ctx, []record.Write{{Key: "k"}}).(record.Written); !ok {
