instance: tell the members of a manifest before upstreams are placed by it

Cause: the upstreams were placed over members of whom none, this instance included, had told that the manifest is in force; until the next pass the only instance was no home of any upstream, and took requests already. Ruled out: the engine (no request reached it) and the start's learning of crashes (the entries are told only after it). The test prints the refusal now, where it panicked.

--- a/instance/callers_test.go
+++ b/instance/callers_test.go
@@ -20,6 +20,9 @@
 	if err := json.Unmarshal([]byte(whole.body), &completion); err != nil {
 		t.Fatalf("%v in %s", err, whole.body)
 	}
+	if whole.status != http.StatusOK || len(completion.Choices) == 0 {
+		t.Fatalf("status %d, body %s, header %v", whole.status, whole.body, whole.header)
+	}
 	if got := completion.Choices[0].Message.Content; got != want {
 		t.Errorf("whole answer %q, want %q", got, want)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -343,7 +343,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			i.members.Update(i.published(), i.headroom())
+			i.members.Update(i.published(i.version()), i.headroom())
 			continue
 		case <-i.members.Changed():
 		case <-i.learntNow:
--- a/instance/reconfigure.go
+++ b/instance/reconfigure.go
@@ -16,7 +16,9 @@
 		return
 	}
 	index := next.index
-	i.members.Update(i.published(), i.headroom())
+	// The members know of next before it is placed over them: this one is no
+	// home of any upstream until they do.
+	i.members.Update(i.published(next.version), i.headroom())
 	records := i.members.Records()
 	placement := home.Place(homeUpstreams(index), records)
 	i.home.Configure(index.Manifest.Classes, i.owned(index, placement))
@@ -32,13 +34,13 @@
 	i.loseHolders(records)
 }
 
-// published is the version that other instances hear of: 0 while this one must
-// not be a home or an entry yet.
-func (i *Instance) published() id.ManifestVersion {
+// published is what other instances hear of the version in force: 0 while this
+// one must not be a home or an entry yet.
+func (i *Instance) published(inForce id.ManifestVersion) id.ManifestVersion {
 	if !i.learnt.Load() {
 		return 0
 	}
-	return i.version()
+	return inForce
 }
 
 // headroom is the free share of the requests that the instance may carry.
--- a/instance/versions.go
+++ b/instance/versions.go
@@ -43,7 +43,6 @@
 	next := &indexed{version: version, index: manifest.NewIndex(m), taken: time.Now()}
 	i.reconfigure(next)
 	i.index.Store(next)
-	i.members.Update(i.published(), i.headroom())
 }
 
 func (i *Instance) manifestMessage() *wire.FetchManifestResponse {
