atmostonce: end the work on records with their instance

24 runs of the instance's tests with the race detector, four at a time: one read the log's state while the next test set it. Cause: Run gives up on the records of at-most-once calls after a second and left the work behind, which went on in the process. Ruled out: a goroutine of the test itself (the trace names the run's).

--- a/instance/atmostonce/calls.go
+++ b/instance/atmostonce/calls.go
@@ -63,12 +63,31 @@
 	LateFor time.Duration
 
 	open sync.WaitGroup
+	once sync.Once
+	// stopped ends when the work is given up.
+	stopped context.Context
+	stop    context.CancelFunc
+}
+
+func (c *Calls) init() {
+	c.once.Do(func() { c.stopped, c.stop = context.WithCancel(context.Background()) })
+}
+
+// Stop gives up the work on all records, and returns when it has ended. Calls
+// whose callers still wait end as unknown.
+func (c *Calls) Stop() {
+	c.init()
+	c.stop()
+	c.open.Wait()
 }
 
 // Do runs call and returns its outcome by its deadline or soon after. Work on
 // the record may go on after it returns; Wait waits for that. The end of ctx
 // says that the caller has left.
 func (c *Calls) Do(ctx context.Context, call Call) claim.Outcome {
+	c.init()
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(c.stopped, cancel)
 	run := &run{
 		calls: c,
 		call:  call,
@@ -81,11 +100,15 @@
 			Repeat:   call.Repeat,
 		},
 		caller:  ctx,
-		work:    context.WithoutCancel(ctx),
+		work:    work,
 		events:  make(chan claim.Event, maxOpen),
 		outcome: make(chan claim.Outcome, 1),
 	}
-	c.open.Go(run.loop)
+	c.open.Go(func() {
+		defer cancel()
+		defer stop()
+		run.loop()
+	})
 	return <-run.outcome
 }
 
@@ -156,10 +179,22 @@
 		case <-left:
 			left = nil
 			r.step(claim.CallerLeft{})
+		case <-r.calls.stopped.Done():
+			r.giveUp()
 		}
 	}
 }
 
+// giveUp ends the run as it stands.
+func (r *run) giveUp() {
+	r.ended = true
+	select {
+	case r.outcome <- claim.Unknown{}:
+	default:
+		// The caller has its outcome.
+	}
+}
+
 func (r *run) step(ev claim.Event) {
 	for _, effect := range r.machine.Step(time.Now(), ev) {
 		r.carryOut(effect)
@@ -169,14 +204,14 @@
 func (r *run) carryOut(effect claim.Effect) {
 	switch e := effect.(type) {
 	case claim.WriteRow:
-		go r.write(e)
+		r.calls.open.Go(func() { r.write(e) })
 	case claim.ReadRow:
 		// A row is read only to follow another attempt's claim, or to
 		// release the own one.
 		r.idle()
-		go r.read(e)
+		r.calls.open.Go(func() { r.read(e) })
 	case claim.SendCall:
-		go r.send(e)
+		r.calls.open.Go(func() { r.send(e) })
 	case claim.Tell:
 		r.outcome <- e.Outcome
 	case claim.WakeAt:
--- a/instance/atmostonce/calls_test.go
+++ b/instance/atmostonce/calls_test.go
@@ -154,6 +154,27 @@
 	})
 }
 
+// Work on a record that the platform does not take ends with Stop, and nothing of
+// it goes on.
+func TestStopEndsTheWorkOnRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, s := &memtable.Table{}, &service{}
+		calls := &atmostonce.Calls{Table: m}
+		call := callOf(s, 10*time.Second)
+		call.Send = func(ctx context.Context, p *claim.Permit) claim.Evidence {
+			m.Fail(memtable.Faults{Down: true})
+			return s.send(ctx, p)
+		}
+		calls.Do(t.Context(), call)
+		start := time.Now()
+		calls.Stop()
+		if took := time.Since(start); took > time.Second {
+			t.Errorf("stopping took %v", took)
+		}
+		// The end of the bubble fails if a goroutine is left.
+	})
+}
+
 func TestCallerThatLeavesDoesNotCutTheCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m, s := &memtable.Table{}, &service{delay: time.Second}
