choice: let a chooser keep to the slots and the memory of its upstreams

For the product's own interface, where a request waits at its entry while all upstreams that may take it are full. Bounded choosers count what all entries run; a request names what it may use (Admits), and where an upstream's reading rate is told it stands for the assumed one. Without Bounded nothing changes: router and choice tests pass as before.

--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -38,6 +38,8 @@
 	OutputTokens id.Tokens
 	// Excluded upstreams are not chosen.
 	Excluded []id.Upstream
+	// Admits, unless nil, says which upstreams may be chosen.
+	Admits func(id.Upstream) bool
 	// Returned requests were refused before; they go before newcomers.
 	Returned bool
 }
@@ -94,6 +96,10 @@
 type Chooser struct {
 	// FailureDomain is where this entry runs.
 	FailureDomain id.FailureDomain
+	// Bounded choosers give no upstream more than its slots and its memory, as
+	// far as is known here: requests wait at their entry, which also decides
+	// which are refused.
+	Bounded bool
 
 	service   routing.Service
 	tightest  time.Duration
@@ -276,6 +282,8 @@
 	// Overloaded means that the request would begin after its objective, and
 	// delay all that come after it.
 	Overloaded Refusal = "overloaded"
+	// Full means that all that are left are full.
+	Full Refusal = "full"
 )
 
 // Choose takes an upstream for a request and counts it as running there. With
@@ -283,9 +291,9 @@
 // waited.
 func (c *Chooser) Choose(now time.Time, r Request) (Choice, Refusal) {
 	c.init()
-	candidates := c.candidates(now, r)
-	if len(candidates) == 0 {
-		return Choice{}, NoUpstream
+	candidates, refusal := c.candidates(now, r)
+	if refusal != Chosen {
+		return Choice{}, refusal
 	}
 	var chosen Choice
 	var u *upstream
@@ -294,7 +302,7 @@
 		chosen.Entry = u.Entry
 	} else {
 		u, chosen = c.engine(now, r, candidates)
-		if chosen.kind == bulk && chosen.Expected > r.patience() {
+		if !c.Bounded && chosen.kind == bulk && chosen.Expected > r.patience() {
 			return chosen, Overloaded
 		}
 		c.commit(now, r, u, chosen)
@@ -308,28 +316,64 @@
 	chosen.News, chosen.Age = c.news(now)
 	c.running[r.Ticket] = &run{
 		upstream: u, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind,
-		expected: usualDelay + reading(chosen.Ahead+chosen.Prefill), chosen: now,
+		expected: usualDelay + u.reading(chosen.Ahead+chosen.Prefill), chosen: now,
 	}
 	return chosen, Chosen
 }
 
-// candidates returns the upstreams that are not excluded. Ejected ones are
-// among them only where no other is left.
-func (c *Chooser) candidates(now time.Time, r Request) []*upstream {
+// candidates returns the upstreams that are not excluded and have room. Ejected
+// ones are among them only where no other is left.
+func (c *Chooser) candidates(now time.Time, r Request) ([]*upstream, Refusal) {
 	var good, ejected []*upstream
 	for _, u := range c.upstreams {
 		switch {
-		case slices.Contains(r.Excluded, u.Upstream):
+		case !r.mayUse(u.Upstream):
 		case u.away(now):
 			ejected = append(ejected, u)
 		default:
 			good = append(good, u)
 		}
 	}
-	if len(good) > 0 {
-		return good
+	left := good
+	if len(left) == 0 {
+		left = ejected
 	}
-	return ejected
+	if len(left) == 0 {
+		return nil, NoUpstream
+	}
+	left = slices.DeleteFunc(left, func(u *upstream) bool { return c.full(now, u, r.memory()) })
+	if len(left) == 0 {
+		return nil, Full
+	}
+	return left, Chosen
+}
+
+func (r Request) mayUse(u id.Upstream) bool {
+	return !slices.Contains(r.Excluded, u) && (r.Admits == nil || r.Admits(u))
+}
+
+// full reports whether an upstream must not be given more. One that runs nothing
+// takes any request.
+func (c *Chooser) full(now time.Time, u *upstream, memory id.Tokens) bool {
+	if !c.Bounded {
+		return false
+	}
+	load := c.load(now, u)
+	slots := u.Slots > 0 && load.Running >= u.Slots
+	return slots || u.KVTokens > 0 && load.Running > 0 && load.Memory+memory > u.KVTokens
+}
+
+// Room returns how many slots are free at the upstreams that are not kept away
+// from, and how many there are.
+func (c *Chooser) Room(now time.Time, admits func(id.Upstream) bool) (free, slots int) {
+	for _, u := range c.upstreams {
+		if u.away(now) || !admits(u.Upstream) {
+			continue
+		}
+		slots += u.Slots
+		free += max(u.Slots-c.load(now, u).Running, 0)
+	}
+	return free, slots
 }
 
 // leastLoaded returns the candidate with the least work in progress, more where
--- a/coordination/choice/choice_test.go
+++ b/coordination/choice/choice_test.go
@@ -418,3 +418,53 @@
 		}
 	}
 }
+
+// Pattern: more requests than slots. A bounded chooser counts what all entries
+// run, and gives no engine more than its slots or its memory.
+func TestBoundedChooserKeepsSlotsAndMemory(t *testing.T) {
+	c := &choice.Chooser{Bounded: true}
+	engines := upstreams(2, 3)
+	for i := range engines {
+		engines[i].KVTokens = 10_000
+	}
+	c.Step(start, choice.Configured{Service: routing.Service{Engine: &routing.Engine{}}, Upstreams: engines})
+	c.Step(start, choice.Heard{Instance: "other", Loads: map[id.Upstream]choice.Load{"u00": {Running: 2}}})
+	var n tickets
+	send := func(tokens id.Tokens) choice.Refusal {
+		_, refusal := c.Choose(start, choice.Request{Ticket: n.next(), Parts: []choice.Part{{Name: fmt.Sprint(n.last), Tokens: tokens}}})
+		return refusal
+	}
+	for range 4 {
+		if got := send(10); got != choice.Chosen {
+			t.Fatalf("a free slot was not given out: %s", got)
+		}
+	}
+	if got := send(10); got != choice.Full {
+		t.Errorf("one more than the slots: %q", got)
+	}
+	c.Step(start, choice.Ended{Ticket: n.last - 1})
+	if got := send(20_000); got != choice.Full {
+		t.Errorf("more than the memory: %q", got)
+	}
+	if got := send(10); got != choice.Chosen {
+		t.Errorf("a slot that was freed was not given out: %s", got)
+	}
+}
+
+// An upstream that runs nothing takes a request of any size, and ejected ones
+// are used only where no other may take a request, whether or not those are full.
+func TestBoundedChooserUsesEjectedOnesLast(t *testing.T) {
+	c := &choice.Chooser{Bounded: true}
+	c.Step(start, choice.Configured{Service: routing.Service{}, Upstreams: upstreams(2, 1)})
+	c.Step(start, choice.Warned{Upstream: "u00", For: time.Second})
+	if got, refusal := c.Choose(start, choice.Request{Ticket: 1}); got.Upstream != "u01" {
+		t.Errorf("chose %q, %q", got.Upstream, refusal)
+	}
+	if _, refusal := c.Choose(start, choice.Request{Ticket: 2}); refusal != choice.Full {
+		t.Errorf("beside an ejected one: %q", refusal)
+	}
+	onlyFirst := func(u id.Upstream) bool { return u == "u00" }
+	if got, _ := c.Choose(start, choice.Request{Ticket: 3, Admits: onlyFirst}); got.Upstream != "u00" {
+		t.Errorf("chose %q, want the ejected one that alone may take it", got.Upstream)
+	}
+}
--- a/coordination/choice/engine.go
+++ b/coordination/choice/engine.go
@@ -12,7 +12,7 @@
 
 const (
 	// tokensPerSecond is the rate at which an engine is assumed to read
-	// prompts.
+	// prompts where nothing tells.
 	tokensPerSecond = 38_000
 	// rankPenalty is the cost of each step down the order of affinity.
 	rankPenalty = 4 * time.Millisecond
@@ -46,7 +46,7 @@
 		// The lane is full: anywhere is better than after the objective.
 		best, choice, _ = c.cheapest(now, r, kind, candidates)
 	}
-	choice.Expected = usualDelay + reading(choice.Ahead+choice.Prefill)
+	choice.Expected = usualDelay + best.reading(choice.Ahead+choice.Prefill)
 	if kind == bulk {
 		choice.Expected = time.Duration(c.stretch * float64(choice.Expected))
 	}
@@ -55,10 +55,10 @@
 
 // commit notes that a request goes to an engine.
 func (c *Chooser) commit(now time.Time, r Request, u *upstream, choice Choice) {
-	u.cache.add(r.Parts, c.service.Engine.KVTokens)
+	u.cache.add(r.Parts, cmp.Or(c.service.Engine.KVTokens, u.KVTokens))
 	if choice.kind == sensitive {
 		c.lanes.decay(now)
-		c.lanes.reading += reading(choice.Prefill).Seconds()
+		c.lanes.reading += u.reading(choice.Prefill).Seconds()
 	}
 }
 
@@ -73,12 +73,12 @@
 		ahead := load.ahead(r.Urgency)
 		prefill := u.cache.missing(r.Parts, rank == 0)
 		slow := load.slowness(total)
-		cost := time.Duration(slow*float64(reading(ahead)+readingWeight*reading(prefill))) +
+		cost := time.Duration(slow*float64(u.reading(ahead)+readingWeight*u.reading(prefill))) +
 			time.Duration((slow-1)*float64(slowPenalty)) +
 			time.Duration(rank)*rankPenalty +
 			time.Duration(load.Running)*runPenalty +
 			time.Duration(c.far(u))*farPenalty +
-			c.crowding(load)
+			c.crowding(u, load)
 		if k == tolerant {
 			cost += time.Duration(load.Sensitive) * streamPenalty
 		}
@@ -91,14 +91,14 @@
 }
 
 // crowding is the cost of an engine that is nearly full.
-func (c *Chooser) crowding(l Load) time.Duration {
+func (c *Chooser) crowding(u *upstream, l Load) time.Duration {
 	engine := c.service.Engine
 	taken := 0.0
-	if engine.Slots > 0 {
-		taken = float64(l.Running) / float64(engine.Slots)
+	if slots := cmp.Or(engine.Slots, u.Slots); slots > 0 {
+		taken = float64(l.Running) / float64(slots)
 	}
-	if engine.KVTokens > 0 {
-		taken = max(taken, float64(l.Memory)/float64(engine.KVTokens))
+	if memory := cmp.Or(engine.KVTokens, u.KVTokens); memory > 0 {
+		taken = max(taken, float64(l.Memory)/float64(memory))
 	}
 	return time.Duration(max(taken-fullShare, 0) * float64(fullPenalty))
 }
@@ -125,8 +125,8 @@
 }
 
 // reading is the time that an engine takes to read a prompt.
-func reading(tokens id.Tokens) time.Duration {
-	return time.Duration(float64(tokens) / tokensPerSecond * float64(time.Second))
+func (u *upstream) reading(tokens id.Tokens) time.Duration {
+	return time.Duration(float64(tokens) / cmp.Or(u.ReadingRate, tokensPerSecond) * float64(time.Second))
 }
 
 // affinity is the key by which requests that share a prompt keep together: the
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -20,8 +20,11 @@
 	Service       id.Service
 	Address       string
 	FailureDomain id.FailureDomain
-	// Slots is 0 where the list does not tell.
-	Slots int
+	// Slots, KVTokens and ReadingRate, in prompt tokens a second, are 0 where
+	// the list does not tell.
+	Slots       int
+	KVTokens    id.Tokens
+	ReadingRate float64
 	// Draining upstreams get no new work.
 	Draining bool
 	// Born is the start of this life in Unix milliseconds; 0 if not told.
