admission: order the waiting requests of one entry

Upstreams are chosen by whoever drives it (Upstreams), as coordination/choice does. Kept with their tests: tiers, fairness by tokens, minimum share, refusals, copies of suspect requests, preemption. New: what waits and runs at other instances, told by them; slots are left to higher tiers that wait elsewhere, and work is ended for them in proportion to who runs it; headroom across pools that share upstreams.

Tests: 200 random plays a property (promises, fairness, crashes), the patterns of the new parts each by name.

--- /dev/null
+++ b/coordination/admission/gate.go
@@ -0,0 +1,99 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"samphirehead/coordination/suspect"
+	"samphirehead/state/id"
+)
+
+// mayQueue reports whether one more request of w's fingerprint may be queued or
+// running beside the present ones.
+func (q *Queue) mayQueue(now time.Time, w *waiter) bool {
+	return q.copies[w.Fingerprint] < q.copyLimit(now, w.Fingerprint)
+}
+
+// park keeps a waiter out of its line until a request of the same fingerprint
+// ends.
+func (q *Queue) park(w *waiter) {
+	if w.line.class.waiting >= w.line.class.QueueBound {
+		q.timers.remove(w.timerIndex)
+		delete(q.waiters, w.Ticket)
+		q.emit(Refused{w.Ticket, QueueFull, defaultRetryAfter})
+		return
+	}
+	w.parked = true
+	w.line.class.waiting++
+	q.parked[w.Fingerprint] = append(q.parked[w.Fingerprint], w)
+}
+
+func (q *Queue) unpark(w *waiter) {
+	f := w.Fingerprint
+	w.parked = false
+	w.line.class.waiting--
+	q.parked[f] = slices.DeleteFunc(q.parked[f], func(x *waiter) bool { return x == w })
+	if len(q.parked[f]) == 0 {
+		delete(q.parked, f)
+	}
+}
+
+// count adds to the queued and running requests of a fingerprint.
+func (q *Queue) count(f id.Fingerprint, change int) {
+	if f == 0 || q.Suspects == nil {
+		return
+	}
+	q.copies[f] += change
+	if q.copies[f] <= 0 {
+		delete(q.copies, f)
+	}
+}
+
+// settle lets the parked waiters of a fingerprint in as far as its limit
+// allows, or refuses them when it is quarantined.
+func (q *Queue) settle(now time.Time, f id.Fingerprint) {
+	limit := q.copyLimit(now, f)
+	for len(q.parked[f]) > 0 {
+		w := q.parked[f][0]
+		if limit == 0 {
+			q.refuse(now, w, Quarantined, 0)
+			continue
+		}
+		if q.copies[f] >= limit {
+			return
+		}
+		q.unpark(w)
+		q.enqueue(w)
+		if !w.FirstTokenBy.After(now) && !w.front() {
+			w.line.miss(w)
+		}
+	}
+}
+
+// track passes an event to the suspects' tracker and carries its effects out.
+func (q *Queue) track(now time.Time, ev suspect.Event) {
+	for _, effect := range q.Suspects.Step(now, ev) {
+		if spread, ok := effect.(suspect.Spread); ok {
+			q.emit(CrashSeen{spread.Records})
+		}
+	}
+	q.refuseQuarantined(now)
+}
+
+// refuseQuarantined refuses the waiters of fingerprints whose quarantine has
+// begun since the last look.
+func (q *Queue) refuseQuarantined(now time.Time) {
+	if q.Suspects == nil || q.begun == q.Suspects.Begun() {
+		return
+	}
+	q.begun = q.Suspects.Begun()
+	for _, w := range q.sortedWaiters() {
+		if q.copyLimit(now, w.Fingerprint) == 0 {
+			q.refuse(now, w, Quarantined, 0)
+		}
+	}
+}
+
+func (q *Queue) suspected(now time.Time, f id.Fingerprint) bool {
+	return q.Suspects != nil && f != 0 && q.Suspects.Verdict(now, f) == suspect.Suspected
+}
--- /dev/null
+++ b/coordination/admission/main_test.go
@@ -0,0 +1,171 @@
+package admission_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/admission"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{
+		"rapid.seed": "20261204", "rapid.checks": "200", "rapid.steps": "100", "rapid.nofailfile": "true",
+	} {
+		_ = flag.Set(name, value)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+const poolName = id.Pool("model:m")
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func class(name id.Class, tier id.Tier, share float64) manifest.Class {
+	return manifest.Class{
+		Name: name, Tier: tier, FirstToken: time.Second, TotalDeadline: time.Hour,
+		MinimumShare: share, QueueBound: 10000,
+	}
+}
+
+// request returns a request with a target far away.
+func request(n int, c id.Class, w id.Workspace) admission.Request {
+	return admission.Request{
+		Ticket: admission.Ticket(n), Request: id.Request(fmt.Sprintf("q%d", n)),
+		Pool: poolName, Class: c, Workspace: w, PromptTokens: 100,
+		FirstTokenBy: start.Add(time.Hour), Deadline: start.Add(2 * time.Hour),
+	}
+}
+
+func granted(effects []admission.Effect) []admission.Granted { return pick[admission.Granted](effects) }
+
+func pick[E admission.Effect](effects []admission.Effect) []E {
+	var found []E
+	for _, e := range effects {
+		if x, ok := e.(E); ok {
+			found = append(found, x)
+		}
+	}
+	return found
+}
+
+func released(t admission.Ticket, tokens id.Tokens) admission.Released {
+	return admission.Released{Ticket: t, Tokens: tokens, Outcome: admission.Completed, FirstToken: 10 * time.Millisecond}
+}
+
+// engines are upstreams with some slots each; requests go to the first with a
+// free one.
+type engines struct {
+	slots map[id.Upstream]int
+	// resumes names those that resume; nil lets all do it.
+	resumes map[id.Upstream]bool
+	running map[admission.Ticket]id.Upstream
+	// pools names what an engine serves; nil lets all serve all.
+	pools map[id.Pool][]id.Upstream
+}
+
+func newEngines(slots ...int) *engines {
+	e := &engines{slots: map[id.Upstream]int{}, running: map[admission.Ticket]id.Upstream{}}
+	for i, n := range slots {
+		e.slots[id.Upstream(fmt.Sprintf("e%d", i))] = n
+	}
+	return e
+}
+
+func (e *engines) inUse(u id.Upstream) int {
+	n := 0
+	for _, at := range e.running {
+		if at == u {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *engines) admits(r admission.Request, u id.Upstream) bool {
+	serves := e.pools == nil || slices.Contains(e.pools[r.Pool], u)
+	return serves && !slices.Contains(r.Excluded, u) && (r.ResumeOffset == 0 || e.resumes == nil || e.resumes[u])
+}
+
+func (e *engines) free(r admission.Request) bool {
+	for u, slots := range e.slots {
+		if e.admits(r, u) && e.inUse(u) < slots {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *engines) Place(_ time.Time, r admission.Request, _ id.Tokens, avoid func(id.Upstream) bool) (id.Upstream, admission.Placement) {
+	placement := admission.Barred
+	for _, u := range slices.Sorted(maps.Keys(e.slots)) {
+		if !e.admits(r, u) {
+			continue
+		}
+		if avoid(u) || e.inUse(u) >= e.slots[u] {
+			placement = admission.Busy
+			continue
+		}
+		e.running[r.Ticket] = u
+		return u, admission.Placed
+	}
+	return "", placement
+}
+
+func (e *engines) Room(_ time.Time, p id.Pool) (free, slots int) {
+	for u, n := range e.slots {
+		if e.pools == nil || slices.Contains(e.pools[p], u) {
+			slots += n
+			free += n - e.inUse(u)
+		}
+	}
+	return free, slots
+}
+
+func (e *engines) Near(p id.Pool) []id.Pool {
+	if e.pools == nil {
+		return []id.Pool{p}
+	}
+	return slices.Sorted(maps.Keys(e.pools))
+}
+
+func (e *engines) Yields(p id.Pool, u id.Upstream) bool {
+	serves := e.pools == nil || slices.Contains(e.pools[p], u)
+	return serves && (e.resumes == nil || e.resumes[u])
+}
+
+func (*engines) PrefillTime(id.Pool, id.Tokens) time.Duration { return 0 }
+
+// entry is a queue before engines.
+type entry struct {
+	admission.Queue
+	*engines
+}
+
+func newEntry(e *engines, classes ...manifest.Class) *entry {
+	n := &entry{Queue: admission.Queue{Upstreams: e}, engines: e}
+	n.Step(start, admission.Configured{Classes: classes})
+	return n
+}
+
+// step frees what ends at the engines, then tells the queue.
+func (e *entry) step(now time.Time, ev admission.Event) []admission.Effect {
+	switch ev := ev.(type) {
+	case admission.Released:
+		delete(e.running, ev.Ticket)
+	case admission.Withdrawn:
+		delete(e.running, ev.Ticket)
+	}
+	return e.Step(now, ev)
+}
+
+func (e *entry) arrive(now time.Time, r admission.Request) []admission.Effect {
+	return e.step(now, admission.Arrived{Request: r})
+}
--- /dev/null
+++ b/coordination/admission/promises_test.go
@@ -0,0 +1,279 @@
+package admission_test
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"samphirehead/coordination/admission"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+// model checks the queue's promises from its events and effects alone.
+type model struct {
+	*entry
+	now     time.Time
+	classes map[id.Class]manifest.Class
+	waiting map[admission.Ticket]admission.Request
+	runs    map[admission.Ticket]admission.Request
+	// ended has all requests that were refused, withdrawn or released.
+	ended map[admission.Ticket]bool
+	// passed counts the grants since a class with waiters last had one.
+	passed map[id.Class]int
+	// early counts a class's grants ahead of a higher tier, beside the grants
+	// since it began to wait.
+	early, during map[id.Class]int
+	next          int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		now: start, classes: map[id.Class]manifest.Class{},
+		waiting: map[admission.Ticket]admission.Request{}, runs: map[admission.Ticket]admission.Request{},
+		ended: map[admission.Ticket]bool{}, passed: map[id.Class]int{},
+		early: map[id.Class]int{}, during: map[id.Class]int{},
+	}
+	shares := []float64{0, 0, 0.1, 0.25}
+	var classes []manifest.Class
+	for i, name := range []id.Class{"quick", "quote", "note", "dossier"} {
+		c := class(name, id.Tier(1+i*3/4), shares[i])
+		c.QueueBound = rapid.IntRange(1, 8).Draw(t, "bound")
+		classes = append(classes, c)
+		m.classes[name] = c
+	}
+	slots := make([]int, rapid.IntRange(1, 3).Draw(t, "upstreams"))
+	for i := range slots {
+		slots[i] = rapid.IntRange(1, 4).Draw(t, "slots")
+	}
+	m.entry = newEntry(newEngines(slots...), classes...)
+	return m
+}
+
+func (m *model) play(t *rapid.T, ev admission.Event) {
+	for _, e := range m.step(m.now, ev) {
+		switch e := e.(type) {
+		case admission.Granted:
+			m.grant(t, e)
+		case admission.Refused:
+			m.refuse(t, e)
+		}
+	}
+	for ticket, r := range m.waiting {
+		if m.free(r) {
+			t.Fatalf("%d waits beside a free slot", ticket)
+		}
+	}
+}
+
+func (m *model) waits(c id.Class) int {
+	n := 0
+	for _, r := range m.waiting {
+		if r.Class == c {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) tier(c id.Class) id.Tier { return m.classes[c].Tier }
+
+func (m *model) grant(t *rapid.T, e admission.Granted) {
+	r, ok := m.waiting[e.Ticket]
+	if !ok {
+		t.Fatalf("granted %d, which does not wait", e.Ticket)
+	}
+	m.checkShares(t, r)
+	delete(m.waiting, e.Ticket)
+	m.runs[e.Ticket] = r
+}
+
+// jumped reports whether r goes before waiting work of a higher tier.
+func (m *model) jumped(r admission.Request) bool {
+	for _, w := range m.waiting {
+		if m.tier(w.Class) < m.tier(r.Class) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkShares checks the bounds of the minimum share: how long a class waits,
+// and how much it may take from higher tiers.
+func (m *model) checkShares(t *rapid.T, r admission.Request) {
+	withShare := 0
+	for name, c := range m.classes {
+		if c.MinimumShare > 0 {
+			withShare++
+		}
+		if m.waits(name) > 0 {
+			m.passed[name]++
+			m.during[name]++
+		}
+	}
+	if m.jumped(r) {
+		m.early[r.Class]++
+	}
+	m.passed[r.Class] = 0
+	for name, c := range m.classes {
+		if c.MinimumShare == 0 {
+			if m.early[name] > 0 {
+				t.Fatalf("%s has no minimum share but went before a higher tier", name)
+			}
+			continue
+		}
+		if bound := int(math.Ceil(1/c.MinimumShare)) + withShare - 1; m.passed[name] > bound {
+			t.Fatalf("%s waited for %d grants; the bound is %d", name, m.passed[name], bound)
+		}
+		if most := c.MinimumShare*float64(m.during[name]) + 1; float64(m.early[name]) > most {
+			t.Fatalf("%s went early %d times of %d", name, m.early[name], m.during[name])
+		}
+	}
+	if m.waits(r.Class) == 1 {
+		delete(m.passed, r.Class)
+	}
+}
+
+func (m *model) refuse(t *rapid.T, e admission.Refused) {
+	r, ok := m.waiting[e.Ticket]
+	if !ok {
+		t.Fatalf("refused %d, which does not wait", e.Ticket)
+	}
+	m.end(e.Ticket)
+	if e.Reason == admission.Deadline {
+		return
+	}
+	if m.waits(r.Class) == 0 && m.classes[r.Class].MinimumShare > 0 {
+		t.Fatalf("refused %d (%s), the only waiter of %s", e.Ticket, e.Reason, r.Class)
+	}
+	for name, c := range m.classes {
+		if c.Tier <= m.tier(r.Class) {
+			continue
+		}
+		if n := m.waits(name); n > 1 || (n == 1 && c.MinimumShare == 0) {
+			t.Fatalf("refused %d of %s (%s) while %d of %s wait", e.Ticket, r.Class, e.Reason, n, name)
+		}
+	}
+}
+
+// end forgets a waiter.
+func (m *model) end(ticket admission.Ticket) {
+	c := m.waiting[ticket].Class
+	delete(m.waiting, ticket)
+	m.ended[ticket] = true
+	if m.waits(c) == 0 {
+		delete(m.passed, c)
+	}
+}
+
+func (m *model) arriveNew(t *rapid.T) {
+	m.next++
+	r := request(m.next, rapid.SampledFrom([]id.Class{"quick", "quote", "note", "dossier"}).Draw(t, "class"),
+		rapid.SampledFrom([]id.Workspace{"a", "b", "c"}).Draw(t, "workspace"))
+	r.FirstTokenBy = m.now.Add(time.Duration(rapid.IntRange(10, 3000).Draw(t, "target")) * time.Millisecond)
+	m.waiting[r.Ticket] = r
+	m.play(t, admission.Arrived{Request: r})
+	_, waits := m.waiting[r.Ticket]
+	_, runs := m.runs[r.Ticket]
+	if !waits && !runs && !m.ended[r.Ticket] {
+		t.Fatalf("%d has no answer", r.Ticket)
+	}
+}
+
+func (m *model) releaseOne(t *rapid.T) {
+	if len(m.runs) == 0 {
+		t.Skip("nothing runs")
+	}
+	ticket := rapid.SampledFrom(slices.Sorted(maps.Keys(m.runs))).Draw(t, "running")
+	delete(m.runs, ticket)
+	m.ended[ticket] = true
+	m.play(t, released(ticket, id.Tokens(rapid.IntRange(0, 600).Draw(t, "tokens"))))
+}
+
+func (m *model) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"arrive": m.arriveNew,
+		"burst": func(t *rapid.T) {
+			for range 6 {
+				m.arriveNew(t)
+			}
+		},
+		"release": m.releaseOne,
+		"drain": func(t *rapid.T) {
+			for range 6 {
+				m.arriveNew(t)
+				m.releaseOne(t)
+			}
+		},
+		"withdraw": func(t *rapid.T) {
+			if len(m.waiting) == 0 {
+				t.Skip("nothing waits")
+			}
+			ticket := rapid.SampledFrom(slices.Sorted(maps.Keys(m.waiting))).Draw(t, "waiting")
+			m.end(ticket)
+			m.play(t, admission.Withdrawn{Ticket: ticket})
+		},
+		"wait": func(t *rapid.T) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			m.play(t, admission.Ticked{})
+		},
+		"held": func(t *rapid.T) {
+			if got, want := m.Held(), len(m.waiting)+len(m.runs); got != want {
+				t.Fatalf("holds %d requests, want %d", got, want)
+			}
+		},
+	}
+}
+
+// Tiers go in order but for the minimum shares, no request waits beside a free
+// slot, nothing is refused while lower tiers wait, and each request has one
+// answer.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(m.actions())
+	})
+}
+
+// Promises of single requests.
+func TestRefusals(t *testing.T) {
+	late := request(1, "quick", "w")
+	late.Deadline = start
+	barred := request(1, "quick", "w")
+	barred.Excluded = []id.Upstream{"e0"}
+	unknown := request(1, "none", "w")
+	for name, c := range map[string]struct {
+		request admission.Request
+		want    admission.Reason
+	}{
+		"deadline passed": {late, admission.Deadline},
+		"all excluded":    {barred, admission.NoUpstream},
+		"unknown class":   {unknown, admission.UnknownClass},
+	} {
+		e := newEntry(newEngines(1), class("quick", 1, 0))
+		got := pick[admission.Refused](e.arrive(start, c.request))
+		if len(got) != 1 || got[0].Reason != c.want {
+			t.Errorf("%s: refused %+v, want %s", name, got, c.want)
+		}
+		if e.Held() != 0 {
+			t.Errorf("%s: %d requests held", name, e.Held())
+		}
+	}
+}
+
+// A manifest that drops a class ends its waiters; one that excludes the last
+// upstream is found at the next look.
+func TestWaitersEndWithTheirClass(t *testing.T) {
+	e := newEntry(newEngines(1), class("quick", 1, 0), class("dossier", 2, 0))
+	for i := range 3 {
+		e.arrive(start, request(i, "dossier", "w"))
+	}
+	got := pick[admission.Refused](e.step(start, admission.Configured{Classes: []manifest.Class{class("quick", 1, 0)}}))
+	if len(got) != 2 {
+		t.Errorf("refused %+v, want the two that wait", got)
+	}
+}
