--- a/coordination/leave/leave.go
+++ b/coordination/leave/leave.go
@@ -11,9 +11,6 @@
 	// DefaultMargin is added to the lifetime of entries answers: the time
 	// that it takes other instances to hear that this one leaves.
 	DefaultMargin = 500 * time.Millisecond
-	// homeGrace bounds the wait for reservations that other entries hold at
-	// this home. They register them elsewhere; a lost home cuts nothing.
-	homeGrace = 5 * time.Second
 )
 
 // Phase is how far an instance has left.
@@ -45,8 +42,6 @@
 type InFlight struct {
 	// Requests counts callers' requests at this entry.
 	Requests int
-	// Waiting counts the reservations that are queued or held at this home.
-	Waiting int
 }
 
 func (Asked) event()    {}
@@ -116,19 +111,12 @@
 		// may have come since the last one.
 		m.work = InFlight{Requests: 1}
 		return m.enter(Refusing)
-	case m.phase == Refusing && m.finished(now):
+	case m.phase == Refusing && m.work.Requests == 0:
 		return m.enter(Done)
 	}
 	return nil
 }
 
-func (m *Machine) finished(now time.Time) bool {
-	if m.work.Requests > 0 {
-		return false
-	}
-	return m.work.Waiting == 0 || !now.Before(m.refuseAt.Add(homeGrace))
-}
-
 func (m *Machine) enter(p Phase) []Effect {
 	m.phase = p
 	return []Effect{Entered{Phase: p}}
--- a/coordination/limit/limit.go
+++ b/coordination/limit/limit.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"samphirehead/coordination/home"
 	"samphirehead/state/id"
 )
 
@@ -28,8 +27,8 @@
 }
 
 // HomeOf returns the limit home of a workspace, or "" when no member can own.
-func HomeOf(workspace id.Workspace, members home.Ranking) id.Instance {
-	return members.Owner("workspace:"+string(workspace), "")
+func HomeOf(workspace id.Workspace, members Ranking) id.Instance {
+	return members.Owner("workspace:" + string(workspace))
 }
 
 // Limited reports whether the rate limits anything.
--- /dev/null
+++ b/coordination/limit/ranking.go
@@ -0,0 +1,58 @@
+package limit
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"samphirehead/coordination/member"
+	"samphirehead/state/id"
+)
+
+// Ranking answers many questions for owners over the same members. It is
+// immutable.
+type Ranking struct{ all []hashed }
+
+type hashed struct {
+	instance id.Instance
+	hash     uint64
+}
+
+// NewRanking hashes the members that can own.
+func NewRanking(members []member.Record) Ranking {
+	var r Ranking
+	for _, m := range members {
+		if !m.CanOwn() {
+			continue
+		}
+		h := hashed{instance: m.Instance, hash: xxhash.Sum64String(string(m.Instance))}
+		r.all = append(r.all, h)
+	}
+	return r
+}
+
+// Owner returns the owner of key: the member with the highest rendezvous hash,
+// or "" without members. Every caller with the same members gets the same
+// answer, whatever their order.
+func (r Ranking) Owner(key string) id.Instance {
+	return highest(xxhash.Sum64String(key), r.all)
+}
+
+func highest(key uint64, candidates []hashed) id.Instance {
+	var best id.Instance
+	var bestScore uint64
+	for _, c := range candidates {
+		score := mix(key, c.hash)
+		if best == "" || score > bestScore || (score == bestScore && c.instance < best) {
+			best, bestScore = c.instance, score
+		}
+	}
+	return best
+}
+
+// mix combines two hashes into an independent one (the finalizer of
+// splitmix64).
+func mix(a, b uint64) uint64 {
+	z := a ^ (b * 0x9e3779b97f4a7c15)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
--- a/coordination/member/machine_test.go
+++ b/coordination/member/machine_test.go
@@ -298,7 +298,7 @@
 }
 
 // TestFlappingIsHeld checks that an instance that keeps coming back from dead
-// may not be a home until it has been steady.
+// may not lend until it has been steady.
 func TestFlappingIsHeld(t *testing.T) {
 	w := settled(t, 4)
 	flap := func() {
--- a/coordination/member/record.go
+++ b/coordination/member/record.go
@@ -45,7 +45,7 @@
 	// whatever others say.
 	Unreachable bool
 	// Held is local and never sent: the instance came back from dead more
-	// than once lately and has not been steady for long enough to be a home.
+	// than once lately and has not been steady for long enough to lend.
 	Held bool
 }
 
@@ -55,8 +55,8 @@
 	return r.State == Alive && r.Incarnation > 0 && r.Manifest > 0
 }
 
-// CanOwn reports whether the instance may be a home. A suspicion alone moves
-// no home, as the suspect may refute it.
+// CanOwn reports whether the instance may lend rates to others. A suspicion alone
+// moves nothing, as the suspect may refute it.
 func (r Record) CanOwn() bool {
 	if r.Incarnation == 0 || r.Manifest == 0 || r.Held {
 		return false
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -58,7 +58,7 @@
 	// Idempotent work may run more than once: generations, and calls of
 	// routes that are declared so.
 	Idempotent bool
-	// Preempted attempts ended because the home asked for it: not a
+	// Preempted attempts ended because the slot was wanted for other work: not a
 	// failure, free of budget and not counted as an attempt.
 	Preempted bool
 	// Quarantined is the verdict on the request's fingerprint.
--- /dev/null
+++ b/instance/direct/direct_test.go
@@ -0,0 +1,195 @@
+package direct_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/admission"
+	"samphirehead/coordination/suspect"
+	"samphirehead/instance/direct"
+	"samphirehead/instance/dispatch"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+const (
+	model    = id.Model("m")
+	patience = 10 * time.Second
+)
+
+// newDispatcher serves engines of one slot each; the first resumes answers.
+func newDispatcher(t *testing.T, engines int) *direct.Dispatcher {
+	t.Helper()
+	m := &manifest.Manifest{
+		Models: []manifest.Model{{Name: model}},
+		Classes: []manifest.Class{
+			{Name: "quick", Tier: 1, FirstToken: time.Minute, BetweenTokens: time.Second, TotalDeadline: time.Hour, QueueBound: 100},
+			{Name: "slow", Tier: 2, FirstToken: time.Minute, BetweenTokens: time.Second, TotalDeadline: time.Hour, QueueBound: 100},
+		},
+	}
+	for i := range engines {
+		m.Upstreams = append(m.Upstreams, manifest.Upstream{
+			Name: id.Upstream(fmt.Sprint("e", i)), Kind: manifest.KindEngine, Models: []id.Model{model}, Resumes: i == 0,
+			Capacity: manifest.Capacity{Slots: 1, PrefillTokensPerSecond: 8000, KVTokens: 1 << 20},
+		})
+	}
+	d := &direct.Dispatcher{Suspects: &suspect.Tracker{}, Spread: func([]suspect.Record) {}}
+	d.Init()
+	d.Configure(manifest.NewIndex(m))
+	return d
+}
+
+func need(class id.Class) admission.Request {
+	now := time.Now()
+	return admission.Request{
+		Pool: id.ModelPool(model), Class: class, Workspace: "w", PromptTokens: 100,
+		FirstTokenBy: now.Add(time.Minute), Deadline: now.Add(time.Hour),
+	}
+}
+
+func reserve(t *testing.T, d *direct.Dispatcher, r admission.Request) *dispatch.Grant {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	g, err := d.Reserve(ctx, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// wait reserves beside the test.
+func wait(ctx context.Context, t *testing.T, d *direct.Dispatcher, r admission.Request) <-chan *dispatch.Grant {
+	t.Helper()
+	held := d.Held()
+	granted := make(chan *dispatch.Grant, 1)
+	go func() {
+		g, err := d.Reserve(ctx, r)
+		if err != nil {
+			g = nil
+		}
+		granted <- g
+	}()
+	for d.Held() == held {
+		time.Sleep(time.Millisecond)
+	}
+	return granted
+}
+
+func TestReleaseLetsTheNextIn(t *testing.T) {
+	d := newDispatcher(t, 1)
+	first := reserve(t, d, need("quick"))
+	next := wait(t.Context(), t, d, need("quick"))
+	if got := d.Queued()["quick"]; got != 1 {
+		t.Errorf("%d requests wait, want 1", got)
+	}
+	d.Started(first)
+	d.Release(first, dispatch.Ending{Outcome: admission.Completed, Tokens: 5, FirstToken: time.Millisecond})
+	g := <-next
+	d.Release(g, dispatch.Ending{Outcome: admission.Completed})
+	if got := d.Held(); got != 0 {
+		t.Errorf("%d requests are held at the end", got)
+	}
+}
+
+func TestGoneCallerLeavesNothing(t *testing.T) {
+	d := newDispatcher(t, 1)
+	first := reserve(t, d, need("quick"))
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := wait(ctx, t, d, need("quick"))
+	cancel()
+	if g := <-gone; g != nil {
+		t.Fatal("a caller that had gone was given a slot")
+	}
+	d.Release(first, dispatch.Ending{Outcome: admission.Completed})
+	d.Release(reserve(t, d, need("quick")), dispatch.Ending{Outcome: admission.Completed})
+	if got := d.Held(); got != 0 {
+		t.Errorf("%d requests are held at the end", got)
+	}
+}
+
+// What other instances run takes slots here, and comes back when they end it or
+// are silent.
+func TestLoadsOfOthersTakeSlots(t *testing.T) {
+	d, other := newDispatcher(t, 2), newDispatcher(t, 2)
+	first := reserve(t, other, need("quick"))
+	d.HearLoad("other", other.Load())
+	if g := reserve(t, d, need("quick")); g.Upstream.Name == first.Upstream.Name {
+		t.Errorf("%s got a second request beside its slot", g.Upstream.Name)
+	}
+	next := wait(t.Context(), t, d, need("quick"))
+	other.Release(first, dispatch.Ending{Outcome: admission.Completed})
+	d.HearLoad("other", other.Load())
+	if g := <-next; g.Upstream.Name != first.Upstream.Name {
+		t.Errorf("the slot at %s was not used again", first.Upstream.Name)
+	}
+}
+
+// Pattern: urgent requests wait while another instance runs work of a lower
+// tier. That one ends some of what can be resumed elsewhere.
+func TestOthersAreAskedToYield(t *testing.T) {
+	d, other := newDispatcher(t, 1), newDispatcher(t, 1)
+	low := reserve(t, other, need("slow"))
+	d.HearLoad("other", other.Load())
+	urgent := need("quick")
+	urgent.FirstTokenBy = time.Now().Add(50 * time.Millisecond)
+	next := wait(t.Context(), t, d, urgent)
+	for low.Preempted().Err() == nil {
+		d.HearLoad("other", other.Load())
+		other.HearLoad("this", d.Load())
+		time.Sleep(time.Millisecond)
+	}
+	other.Release(low, dispatch.Ending{Outcome: admission.Yielded, Tokens: 3})
+	d.HearLoad("other", other.Load())
+	if g := <-next; g == nil {
+		t.Error("the urgent request got no slot")
+	}
+}
+
+// Only an engine that resumes gets the rest of an answer.
+func TestResumedWorkGoesWhereItCan(t *testing.T) {
+	for range 3 {
+		d := newDispatcher(t, 3)
+		r := need("quick")
+		r.ResumeOffset = 4
+		if g := reserve(t, d, r); g.Upstream.Name != "e0" {
+			t.Errorf("%s can't resume", g.Upstream.Name)
+		}
+	}
+}
+
+// Pattern: requests share a long prompt and differ at its end. Once an engine
+// has read it, those that come later go there.
+func TestSharedPromptsMeet(t *testing.T) {
+	d := newDispatcher(t, 6)
+	send := func(own uint64) id.Upstream {
+		r := need("quick")
+		r.PromptTokens = 4000
+		r.Fingerprint = id.Fingerprint(own)
+		r.Prefix = []uint64{1, 2, 3, 4, own}
+		g := reserve(t, d, r)
+		d.Started(g)
+		d.Release(g, dispatch.Ending{Outcome: admission.Completed, Tokens: 1, FirstToken: time.Millisecond})
+		return g.Upstream.Name
+	}
+	send(100)
+	want := send(101)
+	for own := uint64(102); own < 110; own++ {
+		if got := send(own); got != want {
+			t.Errorf("request %d went to %s, its prompt is at %s", own, got, want)
+		}
+	}
+}
+
+func TestUnknownPoolIsRefused(t *testing.T) {
+	d := newDispatcher(t, 1)
+	r := need("quick")
+	r.Pool = "model:none"
+	var refusal *dispatch.Refusal
+	if _, err := d.Reserve(t.Context(), r); !errors.As(err, &refusal) || refusal.Reason != admission.NoUpstream {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/instance/direct/load.go
@@ -0,0 +1,85 @@
+package direct
+
+import (
+	"time"
+
+	"samphirehead/coordination/admission"
+	"samphirehead/coordination/choice"
+	"samphirehead/protocol/exchange"
+	"samphirehead/protocol/peer"
+	"samphirehead/state/id"
+)
+
+// Load makes the message of what this instance has in progress.
+func (d *Dispatcher) Load() *peer.LoadState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	s := &peer.LoadState{}
+	for _, c := range d.upstreams.choosers {
+		for upstream, l := range c.Loads(now) {
+			s.Loads = append(s.Loads, exchange.LoadFrom(upstream, l))
+		}
+		for upstream, left := range c.Ejected(now) {
+			s.Failing = append(s.Failing, &exchange.Failing{Upstream: string(upstream), ForUs: left.Microseconds()})
+		}
+	}
+	s.Waiting = waitingFrom(d.queue.Waiting(), d.queue.Pressed(now), d.queue.Running())
+	return s
+}
+
+// HearLoad takes in what another instance has in progress.
+func (d *Dispatcher) HearLoad(from id.Instance, s *peer.LoadState) {
+	loads := make(map[id.Upstream]choice.Load, len(s.Loads))
+	for _, l := range s.Loads {
+		loads[id.Upstream(l.Upstream)] = l.Load()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, c := range d.upstreams.choosers {
+		c.Step(now, choice.Heard{Instance: from, Loads: loads})
+		for _, f := range s.Failing {
+			c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
+		}
+	}
+	d.step(now, toldOf(from, s.Waiting))
+	d.step(now, admission.Ticked{})
+}
+
+func waitingFrom(waiting, pressed, running admission.Waiting) []*peer.Waiting {
+	var all []*peer.Waiting
+	at := make(map[id.Pool]map[id.Tier]*peer.Waiting)
+	each := func(counts admission.Waiting, add func(w *peer.Waiting, n int32)) {
+		for pool, tiers := range counts {
+			if at[pool] == nil {
+				at[pool] = make(map[id.Tier]*peer.Waiting)
+			}
+			for tier, n := range tiers {
+				if at[pool][tier] == nil {
+					at[pool][tier] = &peer.Waiting{Pool: string(pool), Tier: int32(tier)}
+					all = append(all, at[pool][tier])
+				}
+				add(at[pool][tier], int32(n))
+			}
+		}
+	}
+	each(waiting, func(w *peer.Waiting, n int32) { w.Requests = n })
+	each(pressed, func(w *peer.Waiting, n int32) { w.Pressed = n })
+	each(running, func(w *peer.Waiting, n int32) { w.Running = n })
+	return all
+}
+
+func toldOf(from id.Instance, all []*peer.Waiting) admission.Told {
+	told := admission.Told{
+		Instance: from,
+		Waiting:  make(admission.Waiting), Pressed: make(admission.Waiting), Running: make(admission.Waiting),
+	}
+	for _, w := range all {
+		pool, tier := id.Pool(w.Pool), id.Tier(w.Tier)
+		told.Waiting.Add(pool, tier, int(max(w.Requests, 0)))
+		told.Pressed.Add(pool, tier, int(max(w.Pressed, 0)))
+		told.Running.Add(pool, tier, int(max(w.Running, 0)))
+	}
+	return told
+}
--- /dev/null
+++ b/instance/direct/upstreams.go
@@ -0,0 +1,254 @@
+package direct
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/admission"
+	"samphirehead/coordination/choice"
+	"samphirehead/coordination/registry"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+	"samphirehead/state/routing"
+)
+
+// maxBlocks bounds the prompt blocks that are remembered.
+const maxBlocks = 1 << 16
+
+// engines is the group of all model engines. Those with several models serve
+// several pools, so that one chooser has to count what they run.
+const engines = id.Service("engines")
+
+// upstreams chooses upstreams. It is not safe for concurrent use.
+type upstreams struct {
+	domain id.FailureDomain
+	// choosers has one for all engines and one for each plain service.
+	choosers map[id.Service]*choice.Chooser
+	// known has all upstreams of the manifest, pools their names.
+	known   map[id.Upstream]manifest.Upstream
+	pools   map[id.Pool]map[id.Upstream]bool
+	group   map[id.Pool]id.Service
+	near    map[id.Pool][]id.Pool
+	classes map[id.Class]manifest.Class
+	// running has the group of each run.
+	running map[admission.Ticket]id.Service
+	// blocks holds the prompt blocks that were seen of late.
+	blocks *simplelru.LRU[uint64, struct{}]
+}
+
+var _ admission.Upstreams = (*upstreams)(nil)
+
+func (u *upstreams) init(domain id.FailureDomain) {
+	u.domain = domain
+	u.choosers = make(map[id.Service]*choice.Chooser)
+	u.running = make(map[admission.Ticket]id.Service)
+	// NewLRU fails only for a size below 1.
+	u.blocks, _ = simplelru.NewLRU[uint64, struct{}](maxBlocks, nil)
+}
+
+// configure takes the upstreams of a manifest.
+func (u *upstreams) configure(now time.Time, x *manifest.Index) {
+	u.known = make(map[id.Upstream]manifest.Upstream)
+	u.pools = make(map[id.Pool]map[id.Upstream]bool)
+	u.group = make(map[id.Pool]id.Service)
+	u.classes = make(map[id.Class]manifest.Class)
+	for _, c := range x.Manifest.Classes {
+		u.classes[c.Name] = c
+	}
+	entries := make(map[id.Service][]registry.Entry)
+	for group := range u.choosers {
+		entries[group] = nil
+	}
+	for _, m := range x.Manifest.Upstreams {
+		group := engines
+		if m.Kind == manifest.KindService {
+			group = m.Service
+		}
+		u.known[m.Name] = m
+		for _, p := range m.Pools() {
+			u.group[p] = group
+			if u.pools[p] == nil {
+				u.pools[p] = make(map[id.Upstream]bool)
+			}
+			u.pools[p][m.Name] = true
+		}
+		entries[group] = append(entries[group], entryOf(m))
+	}
+	u.near = nearOf(u.pools)
+	for group, all := range entries {
+		u.chooser(group).Step(now, choice.Configured{Service: u.service(group), Upstreams: all, Tightest: u.tightest()})
+	}
+}
+
+func (u *upstreams) chooser(group id.Service) *choice.Chooser {
+	c := u.choosers[group]
+	if c == nil {
+		c = &choice.Chooser{FailureDomain: u.domain, Bounded: true}
+		u.choosers[group] = c
+	}
+	return c
+}
+
+func (u *upstreams) service(group id.Service) routing.Service {
+	if group == engines {
+		return routing.Service{Name: group, Engine: &routing.Engine{}}
+	}
+	return routing.Service{Name: group}
+}
+
+// tightest is the shortest target of the first token of a streaming class.
+func (u *upstreams) tightest() time.Duration {
+	least := time.Duration(0)
+	for _, c := range u.classes {
+		if c.BetweenTokens > 0 && (least == 0 || c.FirstToken < least) {
+			least = c.FirstToken
+		}
+	}
+	return least
+}
+
+func entryOf(m manifest.Upstream) registry.Entry {
+	return registry.Entry{
+		Upstream: m.Name, Service: m.Service, Address: m.Address, FailureDomain: m.FailureDomain,
+		Slots: m.Capacity.Slots, KVTokens: m.Capacity.KVTokens, ReadingRate: m.Capacity.PrefillTokensPerSecond,
+	}
+}
+
+// Place chooses an upstream for a request.
+func (u *upstreams) Place(now time.Time, r admission.Request, remaining id.Tokens, avoid func(id.Upstream) bool) (id.Upstream, admission.Placement) {
+	group, known := u.group[r.Pool]
+	if !known {
+		return "", admission.Barred
+	}
+	class := u.classes[r.Class]
+	barred := true
+	wanted := choice.Request{
+		Ticket:       choice.Ticket(r.Ticket),
+		Objective:    class.FirstToken,
+		Pause:        class.BetweenTokens,
+		Urgency:      min(max(int(class.Tier)-1, 0), choice.Urgencies-1),
+		OutputTokens: remaining,
+		Excluded:     r.Excluded,
+		Admits: func(name id.Upstream) bool {
+			if !u.pools[r.Pool][name] || r.ResumeOffset > 0 && !u.known[name].Resumes {
+				return false
+			}
+			barred = false
+			return !avoid(name)
+		},
+	}
+	if group == engines {
+		wanted.Parts = u.parts(r)
+	}
+	chosen, refusal := u.choosers[group].Choose(now, wanted)
+	switch {
+	case refusal == choice.Chosen:
+		u.running[r.Ticket] = group
+		u.remember(r)
+		return chosen.Upstream, admission.Placed
+	case refusal == choice.NoUpstream && barred:
+		return "", admission.Barred
+	}
+	return "", admission.Busy
+}
+
+// parts splits a prompt into what other requests share, as far as its blocks
+// were seen before, and the rest.
+func (u *upstreams) parts(r admission.Request) []choice.Part {
+	shared := 0
+	for shared < len(r.Prefix) && u.blocks.Contains(r.Prefix[shared]) {
+		shared++
+	}
+	own := choice.Part{Name: fmt.Sprintf("%x", uint64(r.Fingerprint)), Tokens: r.PromptTokens + r.ResumeOffset}
+	if shared == 0 {
+		return []choice.Part{own}
+	}
+	tokens := r.PromptTokens * id.Tokens(shared) / id.Tokens(len(r.Prefix))
+	own.Tokens -= tokens
+	return []choice.Part{{Name: fmt.Sprintf("%x", r.Prefix[shared-1]), Tokens: tokens}, own}
+}
+
+func (u *upstreams) remember(r admission.Request) {
+	for _, b := range r.Prefix {
+		u.blocks.Add(b, struct{}{})
+	}
+}
+
+// Room returns the free slots and all slots of a pool.
+func (u *upstreams) Room(now time.Time, p id.Pool) (free, slots int) {
+	c := u.choosers[u.group[p]]
+	if c == nil {
+		return 0, 0
+	}
+	return c.Room(now, func(name id.Upstream) bool { return u.pools[p][name] })
+}
+
+// Yields reports whether the end of a run at an upstream makes room for a pool,
+// and the run can go on elsewhere.
+func (u *upstreams) Yields(p id.Pool, name id.Upstream) bool {
+	return u.pools[p][name] && u.known[name].Kind == manifest.KindEngine && u.known[name].Resumes
+}
+
+// Near returns the pools that share upstreams with a pool, itself included.
+func (u *upstreams) Near(p id.Pool) []id.Pool { return u.near[p] }
+
+func nearOf(pools map[id.Pool]map[id.Upstream]bool) map[id.Pool][]id.Pool {
+	near := make(map[id.Pool][]id.Pool, len(pools))
+	for p, upstreams := range pools {
+		for other, others := range pools {
+			if shareAny(upstreams, others) {
+				near[p] = append(near[p], other)
+			}
+		}
+		slices.Sort(near[p])
+	}
+	return near
+}
+
+func shareAny(a, b map[id.Upstream]bool) bool {
+	for name := range a {
+		if b[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// PrefillTime is how long the fastest upstream of a pool takes to read a prompt.
+func (u *upstreams) PrefillTime(p id.Pool, prompt id.Tokens) time.Duration {
+	fastest := 0.0
+	for name := range u.pools[p] {
+		fastest = max(fastest, u.known[name].Capacity.PrefillTokensPerSecond)
+	}
+	if fastest == 0 {
+		return 0
+	}
+	return time.Duration(float64(prompt) / fastest * float64(time.Second))
+}
+
+func (u *upstreams) started(now time.Time, t admission.Ticket) {
+	if group, ok := u.running[t]; ok {
+		u.choosers[group].Step(now, choice.Started{Ticket: choice.Ticket(t)})
+	}
+}
+
+func (u *upstreams) ended(now time.Time, t admission.Ticket, ev choice.Ended) {
+	if group, ok := u.running[t]; ok {
+		delete(u.running, t)
+		u.choosers[group].Step(now, ev)
+	}
+}
+
+// logBeliefs logs which upstreams are held to be good or not from now on.
+func (u *upstreams) logBeliefs() {
+	for group, c := range u.choosers {
+		for _, b := range c.Changes() {
+			klog.InfoS("upstream belief", "service", group, "upstream", b.Upstream, "belief", b.Belief, "cause", b.Cause,
+				"for", b.For, "failed", b.Failed, "ended", b.Ended, "slowness", b.Slowness)
+		}
+	}
+}
--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -6,11 +6,10 @@
 	"net/url"
 	"time"
 
-	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
+	"samphirehead/coordination/admission"
 	"samphirehead/coordination/claim"
-	"samphirehead/coordination/queue"
 	"samphirehead/coordination/retry"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
@@ -31,7 +30,7 @@
 	in    caller.ServiceCall
 	route manifest.Route
 	class manifest.Class
-	need  queue.Arrived
+	need  admission.Request
 	wait  time.Duration
 }
 
@@ -78,20 +77,18 @@
 		return nil, &answer.Failure{Reason: answer.ReasonBadRequest, Message: "the Idempotency-Key header is longer than 255 bytes"}
 	}
 	class, _ := x.Class(route.Class)
-	return &serviceCall{entry: e, in: in, route: route, class: class, wait: -1, need: queue.Arrived{
-		Request:        in.Request,
-		Pool:           id.ServicePool(in.Service),
-		Class:          class.Name,
-		Workspace:      in.Workspace,
-		FirstTokenBy:   in.Arrived.Add(class.FirstToken),
-		Deadline:       in.Arrived.Add(class.TotalDeadline),
-		MustNotPreempt: true,
+	return &serviceCall{entry: e, in: in, route: route, class: class, wait: -1, need: admission.Request{
+		Request:      in.Request,
+		Pool:         id.ServicePool(in.Service),
+		Class:        class.Name,
+		Workspace:    in.Workspace,
+		FirstTokenBy: in.Arrived.Add(class.FirstToken),
+		Deadline:     in.Arrived.Add(class.TotalDeadline),
 	}}, nil
 }
 
 // reserve waits for a slot of a worker.
 func (c *serviceCall) reserve(ctx context.Context) (*dispatch.Grant, error) {
-	c.need.Reservation = id.Reservation(uuid.NewString())
 	c.need.Attempt++
 	grant, err := c.entry.Dispatcher.Reserve(ctx, c.need)
 	if err == nil && c.wait < 0 {
@@ -166,23 +163,23 @@
 
 // release gives a slot back after an attempt.
 func (c *serviceCall) release(ctx context.Context, grant *dispatch.Grant, evidence claim.Evidence) {
-	outcome := queue.Completed
+	outcome := admission.Completed
 	switch e := evidence.(type) {
 	case claim.Answered:
 		if e.Answer.Status >= http.StatusInternalServerError {
-			outcome = queue.Failed
+			outcome = admission.Failed
 		}
 	case claim.NothingSent:
 		c.logFailure(grant, e.Err)
-		outcome = queue.Unreachable
+		outcome = admission.Unreachable
 	case claim.MayHaveSent:
 		// One lost answer is no sign of a crash: a worker that is gone
 		// refuses the next connection.
 		c.logFailure(grant, e.Err)
-		outcome = queue.Failed
+		outcome = admission.Failed
 	}
-	if outcome != queue.Completed && ctx.Err() != nil {
-		outcome = queue.Cancelled
+	if outcome != admission.Completed && ctx.Err() != nil {
+		outcome = admission.Cancelled
 	}
 	c.entry.Dispatcher.Release(grant, dispatch.Ending{Outcome: outcome})
 }
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"samphirehead/coordination/queue"
+	"samphirehead/coordination/admission"
 	"samphirehead/coordination/retry"
 	"samphirehead/instance/atmostonce"
 	"samphirehead/instance/dispatch"
@@ -115,13 +115,13 @@
 	}
 	f := answer.Failure{RetryAfter: refusal.RetryAfter, Message: refusal.Error()}
 	switch refusal.Reason {
-	case queue.RefusedNoUpstream:
+	case admission.NoUpstream:
 		f.Reason = answer.ReasonNoUpstream
-	case queue.RefusedQuarantined:
+	case admission.Quarantined:
 		f.Reason = answer.ReasonQuarantined
 		f.Message = "equal requests have crashed upstreams; this one is not run"
 		return f
-	case queue.RefusedUnknownClass:
+	case admission.UnknownClass:
 		f.Reason = answer.ReasonNotReady
 	default:
 		f.Reason = answer.ReasonOverloaded
--- a/instance/entry/generate.go
+++ b/instance/entry/generate.go
@@ -7,10 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
-	"samphirehead/coordination/queue"
+	"samphirehead/coordination/admission"
 	"samphirehead/coordination/retry"
 	"samphirehead/instance/dispatch"
 	"samphirehead/protocol/answer"
@@ -46,7 +45,7 @@
 	class    manifest.Class
 	sink     caller.Sink
 	progress answer.Progress
-	need     queue.Arrived
+	need     admission.Request
 	// next is the number of tokens that the caller has; it never falls.
 	next id.Tokens
 	// attempts counts the upstreams that the request was sent to.
@@ -81,8 +80,8 @@
 	return result
 }
 
-func (g *generation) newNeed() queue.Arrived {
-	return queue.Arrived{
+func (g *generation) newNeed() admission.Request {
+	return admission.Request{
 		Request:      g.in.Request,
 		Pool:         id.ModelPool(g.in.Chat.Model),
 		Class:        g.class.Name,
@@ -127,7 +126,6 @@
 // run reserves and streams until the answer is whole or given up.
 func (g *generation) run(ctx context.Context) answer.Result {
 	for {
-		g.need.Reservation = id.Reservation(uuid.NewString())
 		g.need.ResumeOffset = g.next
 		grant, err := g.entry.Dispatcher.Reserve(ctx, g.need)
 		if err != nil {
@@ -168,8 +166,9 @@
 	}, func(ev openai.Event) error {
 		if first == 0 {
 			first = max(time.Since(began), 1)
+			g.entry.Dispatcher.Started(grant)
 		}
-		return g.deliver(grant, ev)
+		return g.deliver(ev)
 	})
 	if !errors.Is(err, engine.ErrNotSent) {
 		g.progress.MayHaveSent()
@@ -194,7 +193,7 @@
 
 // deliver hands one event to the caller. The last event of an answer is the
 // only one that may lack content.
-func (g *generation) deliver(grant *dispatch.Grant, ev openai.Event) error {
+func (g *generation) deliver(ev openai.Event) error {
 	if err := g.sink.Deliver(ev); err != nil {
 		return errors.Mark(err, errCallerGone)
 	}
@@ -209,27 +208,26 @@
 	}
 	g.lastToken = now
 	g.next++
-	grant.Deliver(g.next)
 	return nil
 }
 
-// endingOf maps the error of an attempt to the outcome that its home learns.
-func endingOf(ctx context.Context, err error) queue.Outcome {
+// endingOf maps the error of an attempt to its outcome.
+func endingOf(ctx context.Context, err error) admission.Outcome {
 	switch {
 	case err == nil:
-		return queue.Completed
+		return admission.Completed
 	case errors.Is(err, errPreempted):
-		return queue.OutcomePreempted
+		return admission.Yielded
 	case errors.Is(err, engine.ErrNotSent):
-		return queue.Unreachable
+		return admission.Unreachable
 	case errors.Is(err, engine.ErrStalled):
-		return queue.Unreachable
+		return admission.Unreachable
 	case errors.Is(err, engine.ErrRefused):
-		return queue.Failed
+		return admission.Failed
 	case errors.Is(err, errCallerGone), ctx.Err() != nil:
-		return queue.Cancelled
+		return admission.Cancelled
 	default:
-		return queue.Crashed
+		return admission.Crashed
 	}
 }
 
@@ -248,7 +246,7 @@
 		g.attempts--
 	}
 	outcome := endingOf(ctx, err)
-	if outcome == queue.Crashed {
+	if outcome == admission.Crashed {
 		g.entry.Crashed(grant.Upstream.Name, g.in.Request, g.need.Fingerprint)
 	}
 	verdict := g.entry.decide(g.retryKey(), retry.Evidence{
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -1,5 +1,5 @@
-// Package instance composes one samphirehead process: entry, home, member and
-// holder of leases, behind listeners for callers, peers and operators.
+// Package instance composes one samphirehead process: entry, member and holder
+// of leases, behind listeners for callers, peers and operators.
 package instance
 
 import (
@@ -16,17 +16,15 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/member"
-	"samphirehead/coordination/queue"
 	"samphirehead/coordination/retry"
 	"samphirehead/coordination/suspect"
 	"samphirehead/instance/atmostonce"
+	"samphirehead/instance/direct"
 	"samphirehead/instance/dispatch"
 	"samphirehead/instance/entry"
-	"samphirehead/instance/homes"
 	"samphirehead/instance/limits"
 	"samphirehead/instance/manifests"
 	"samphirehead/instance/members"
-	"samphirehead/instance/reserve"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
 	"samphirehead/state/manifest"
@@ -44,8 +42,8 @@
 // Instance is one process. Its exported fields are set before Listen.
 type Instance struct {
 	Settings *settings.Settings
-	// Baseline, unless nil, replaces reservations at homes by a policy that
-	// it makes. It serves to measure what homes bring.
+	// Baseline, unless nil, replaces the dispatcher by one that it makes. It
+	// serves to measure what the dispatcher brings.
 	Baseline func(index func() *manifest.Index) dispatch.Dispatcher
 	// PeerFaults, unless nil, loses messages to peers in tests.
 	PeerFaults func(http.RoundTripper) http.RoundTripper
@@ -63,25 +61,19 @@
 	services    *service.Client
 	members     *members.Members
 	manifests   *manifests.Manifests
-	home        *homes.Home
-	reserver    *reserve.Client
+	direct      *direct.Dispatcher
 	limits      *limits.Limits
 	entry       *entry.Entry
 	leaving     leaving
 
 	// index is that of the manifest in force; nil before the first.
 	index atomic.Pointer[indexed]
-	// lives holds the incarnation of each member that was not dead at the
-	// last reconfiguration.
-	lives map[id.Instance]id.Incarnation
 	// inFlight counts callers' requests in progress.
 	inFlight atomic.Int64
 	// learnt is set once the crashes that others know of are known here.
 	learnt atomic.Bool
 	// learntNow receives when learnt is set.
 	learntNow chan struct{}
-	// cacheSequences holds how far the engines' cache events were read.
-	cacheSequences sequences
 	// calls holds calls for the background.
 	calls chan func(context.Context) error
 }
@@ -111,7 +103,6 @@
 	}
 	i.incarnation = id.Incarnation(time.Now().UnixNano())
 	i.learntNow = make(chan struct{}, 1)
-	i.lives = make(map[id.Instance]id.Incarnation)
 	i.calls = make(chan func(context.Context) error, queuedBackground)
 	i.leaving.init()
 	i.build()
@@ -144,7 +135,7 @@
 	i.suspects = &suspect.Tracker{}
 	i.buildMembers()
 	i.buildManifests()
-	i.buildHome()
+	i.buildDispatcher()
 	i.limits = &limits.Limits{
 		Self:    i.Settings.Instance,
 		Members: i.members.Records,
@@ -155,32 +146,18 @@
 	i.buildEntry()
 }
 
-func (i *Instance) buildHome() {
-	i.home = &homes.Home{
-		Queue: &queue.Queue{
-			Conservative: conservativeFor,
-			Headroom:     tierHeadroom,
-			LargePrefill: largePrefill,
-			Suspects:     i.suspects,
-		},
-		Preempt: i.preempt,
-		Spread:  i.spread,
-	}
-	i.reserver = &reserve.Client{
-		Self:          i.Settings.Instance,
+func (i *Instance) buildDispatcher() {
+	i.direct = &direct.Dispatcher{
 		FailureDomain: i.Settings.FailureDomain,
-		Local:         i.home,
-		Remote:        i.clients.Home,
-		Stamp:         i.stamp,
-		Seen:          i.seen,
-		Failed:        func(home id.Instance) { i.members.Notice(home) },
+		Suspects:      i.suspects,
+		Spread:        i.spread,
 	}
-	i.reserver.Init()
+	i.direct.Init()
 }
 
 func (i *Instance) buildEntry() {
 	i.entry = &entry.Entry{
-		Dispatcher: i.reserver,
+		Dispatcher: i.direct,
 		Engines:    i.engines,
 		Services:   i.services,
 		Calls:      &atmostonce.Calls{Table: i.platform, Instance: i.Settings.Instance},
@@ -197,13 +174,6 @@
 }
 
 const (
-	// conservativeFor is how long a new home holds back until entries have
-	// registered what runs.
-	conservativeFor = time.Second
-	// tierHeadroom is the share of slots that is kept for higher tiers.
-	tierHeadroom = 0.1
-	// largePrefill is the prefill time from which a prompt counts as large.
-	largePrefill = 300 * time.Millisecond
 	// headroomInterval is how often members are told of the headroom.
 	headroomInterval = time.Second
 	// operatorTimeout bounds the reading and the answering of an operator's
@@ -231,6 +201,7 @@
 	// The end of any part, also the drain, ends the others.
 	err := task.Run(ctx, i.tasks())
 	i.awaitRecords(context.WithoutCancel(ctx), lastRecords)
+	i.entry.Calls.Stop()
 	return err
 }
 
@@ -248,10 +219,9 @@
 	return []task.Task{
 		{Name: "members", Run: i.members.Run},
 		{Name: "manifests", Run: i.manifests.Run},
-		{Name: "home", Run: i.home.Run},
-		{Name: "reservations", Run: i.reserver.Run},
+		{Name: "dispatcher", Run: i.direct.Run},
+		{Name: "loads", Run: i.tellLoads},
 		{Name: "limits", Run: i.limits.Run},
-		{Name: "load reports", Run: i.readReports},
 		{Name: "reconfiguration", Run: i.watch},
 		{Name: "calls in the background", Run: i.runBackground},
 		{Name: "known crashes", Run: i.learn},
@@ -324,8 +294,7 @@
 
 func (i *Instance) peerServer() *http.Server {
 	server := peer.NewServer(peer.Handler(i.Settings.PeerSecret.Reveal(), peer.Services{
-		Home:    &homes.Server{Home: i.home, Stamp: i.stamp, Seen: i.seen, Current: i.awaitManifest},
-		Entry:   &reserve.Server{Client: i.reserver},
+		Load:    (*loadServer)(i),
 		Member:  i.members,
 		Control: (*controlServer)(i),
 		Limit:   i.limits,
--- a/instance/learn.go
+++ b/instance/learn.go
@@ -24,7 +24,7 @@
 )
 
 // learn asks a ready instance for the crashes that it knows of, so that a
-// request which crashes upstreams stays quarantined when homes are replaced.
+// request which crashes upstreams stays quarantined when instances are replaced.
 func (i *Instance) learn(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
@@ -83,7 +83,7 @@
 			At:          now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
 		}
 	}
-	i.home.Hear(records)
+	i.direct.HearCrashes(records)
 	return nil
 }
 
@@ -93,7 +93,7 @@
 	i.seen(r.Stamp)
 	now := time.Now()
 	out := &wire.CrashesResponse{Stamp: i.stamp()}
-	for _, known := range i.home.Crashes(now) {
+	for _, known := range i.direct.Crashes() {
 		out.Crashes = append(out.Crashes, &wire.Crash{
 			Fingerprint: uint64(known.Fingerprint),
 			Upstream:    string(known.Upstream),
--- a/instance/leaving.go
+++ b/instance/leaving.go
@@ -65,7 +65,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			i.leaving.step(leave.InFlight{Requests: int(i.inFlight.Load()), Waiting: i.home.Held()})
+			i.leaving.step(leave.InFlight{Requests: int(i.inFlight.Load())})
 		}
 	}
 	i.awaitRecords(ctx, lateRecords)
--- a/instance/limits/limits.go
+++ b/instance/limits/limits.go
@@ -10,7 +10,6 @@
 
 	"k8s.io/klog/v2"
 
-	"samphirehead/coordination/home"
 	"samphirehead/coordination/limit"
 	"samphirehead/coordination/member"
 	"samphirehead/protocol/peer"
@@ -49,7 +48,7 @@
 	borrower limit.Borrower
 	rates    map[id.Workspace]limit.Amount
 	// ranking and addresses are those of the members at the last pass.
-	ranking   home.Ranking
+	ranking   limit.Ranking
 	addresses map[id.Instance]string
 	// waiting holds, for each workspace with a loan in flight, what is closed
 	// when the loan ends.
@@ -122,7 +121,7 @@
 // takeMembers takes in the members of the moment.
 func (l *Limits) takeMembers() {
 	members := l.Members()
-	ranking := home.NewRanking(members)
+	ranking := limit.NewRanking(members)
 	addresses := make(map[id.Instance]string, len(members))
 	owners := 0
 	for _, r := range members {
--- a/instance/members/members.go
+++ b/instance/members/members.go
@@ -42,10 +42,6 @@
 	Stamp func() *peer.Stamp
 	// Seen hears the stamp of each message.
 	Seen func(s *peer.Stamp)
-	// Summary says how busy the home of this instance is.
-	Summary func() *peer.Summary
-	// HearSummary hears what other homes say.
-	HearSummary func(s *peer.Summary)
 	// HearCrash hears each crash report of others once.
 	HearCrash func(c member.Crash)
 	// Manifest is served to instances that are behind.
--- a/instance/members/probe.go
+++ b/instance/members/probe.go
@@ -20,7 +20,7 @@
 		klog.V(3).InfoS("probe failed", "instance", p.To, "target", p.Target, "err", err)
 		return member.ProbeFailed{Number: p.Number, Evidence: m.Evidence(err)}
 	}
-	m.hear(response.Stamp, response.Summaries, response.Crashes)
+	m.hear(response.Stamp, response.Crashes)
 	return member.ProbeAnswered{
 		Number:  p.Number,
 		From:    id.Instance(response.GetStamp().GetInstance()),
@@ -35,7 +35,6 @@
 		Stamp:     m.Stamp(),
 		Target:    string(p.Target),
 		Members:   peer.RecordsFrom(p.Records),
-		Summaries: m.summaries(),
 		Crashes:   m.takeCrashes(),
 		Sync:      p.Sync,
 		SyncAfter: string(p.SyncAfter),
@@ -44,7 +43,7 @@
 
 // Probe answers another instance, after asking the target if there is one.
 func (m *Members) Probe(ctx context.Context, r *peer.ProbeRequest) (*peer.ProbeResponse, error) {
-	m.hear(r.Stamp, r.Summaries, r.Crashes)
+	m.hear(r.Stamp, r.Crashes)
 	reply := m.step(member.Heard{
 		From:      id.Instance(r.GetStamp().GetInstance()),
 		Records:   peer.Records(r.Members),
@@ -53,12 +52,11 @@
 	})
 	reached := r.Target == "" || m.relay(ctx, id.Instance(r.Target), reply.Records)
 	return &peer.ProbeResponse{
-		Stamp:     m.Stamp(),
-		Reached:   reached,
-		Members:   peer.RecordsFrom(reply.Records),
-		Summaries: m.summaries(),
-		Crashes:   m.takeCrashes(),
-		Page:      peer.RecordsFrom(reply.Page),
+		Stamp:   m.Stamp(),
+		Reached: reached,
+		Members: peer.RecordsFrom(reply.Records),
+		Crashes: m.takeCrashes(),
+		Page:    peer.RecordsFrom(reply.Page),
 	}, nil
 }
 
@@ -77,7 +75,7 @@
 	if err != nil || response.GetStamp().GetInstance() != string(target) {
 		return false
 	}
-	m.hear(response.Stamp, response.Summaries, response.Crashes)
+	m.hear(response.Stamp, response.Crashes)
 	m.step(member.Learned{Records: peer.Records(response.Members)})
 	return true
 }
@@ -90,11 +88,8 @@
 	return response, nil
 }
 
-func (m *Members) hear(stamp *peer.Stamp, summaries []*peer.Summary, crashes []*peer.Crash) {
+func (m *Members) hear(stamp *peer.Stamp, crashes []*peer.Crash) {
 	m.seen(stamp)
-	for _, s := range summaries {
-		m.HearSummary(s)
-	}
 	now := time.Now()
 	for _, c := range crashes {
 		m.hearCrash(now, c.Report(now))
@@ -123,12 +118,4 @@
 	return peer.CrashesFrom(m.crashes.Take(now), now)
 }
 
-func (m *Members) summaries() []*peer.Summary {
-	s := m.Summary()
-	if s == nil {
-		return nil
-	}
-	return []*peer.Summary{s}
-}
-
 var _ peer.Member = (*Members)(nil)
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	preemptTimeout = time.Second
 	// crashTimeout bounds how long a request waits until others know of a
 	// crash, and maxTold how many are told directly; gossip reaches the rest.
 	crashTimeout = 250 * time.Millisecond
@@ -52,26 +51,17 @@
 
 func (i *Instance) buildMembers() {
 	i.members = &members.Members{
-		Machine:     &member.Machine{Self: selfRecord(i), Random: newRandom(i.incarnation)},
-		Remote:      i.clients.Member,
-		Evidence:    peer.EvidenceOf,
-		List:        i.listMembers,
-		Stamp:       i.stamp,
-		Seen:        i.seen,
-		Summary:     i.summary,
-		HearSummary: func(s *wire.Summary) { i.reserver.Hear(s) },
-		HearCrash:   i.hearCrash,
-		Manifest:    i.manifestMessage,
+		Machine:   &member.Machine{Self: selfRecord(i), Random: newRandom(i.incarnation)},
+		Remote:    i.clients.Member,
+		Evidence:  peer.EvidenceOf,
+		List:      i.listMembers,
+		Stamp:     i.stamp,
+		Seen:      i.seen,
+		HearCrash: i.hearCrash,
+		Manifest:  i.manifestMessage,
 	}
 }
 
-func (i *Instance) summary() *wire.Summary {
-	s := wire.SummaryFrom(i.home.Summary())
-	s.Instance = string(i.Settings.Instance)
-	s.Incarnation = uint64(i.incarnation)
-	return s
-}
-
 // listMembers reads the platform's list, and adds the peers of the settings.
 func (i *Instance) listMembers(ctx context.Context) ([]member.Record, error) {
 	listed, _, err := i.platform.Instances(ctx)
@@ -103,28 +93,6 @@
 	return nil, err
 }
 
-// preempt asks a holder to end reservations early, without waiting for it.
-func (i *Instance) preempt(holder id.Instance, reservations []id.Reservation) {
-	if holder == i.Settings.Instance {
-		i.reserver.Preempt(reservations)
-		return
-	}
-	names := make([]string, len(reservations))
-	for n, r := range reservations {
-		names[n] = string(r)
-	}
-	i.background(func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, preemptTimeout)
-		defer cancel()
-		record, known := i.members.Lookup(holder)
-		if !known {
-			return nil
-		}
-		_, err := i.clients.Entry(record.PeerAddress).Preempt(ctx, &wire.PreemptRequest{Stamp: i.stamp(), Reservations: names})
-		return fault.At("preempt", string(holder), err)
-	})
-}
-
 // crashed spreads that an upstream broke under a request. It returns when the
 // live instances know, or after crashTimeout, so that a caller who sends the
 // request again meets the suspicion wherever it turns.
@@ -162,7 +130,7 @@
 	return fault.At("report crash", string(r.Instance), err)
 }
 
-// spread gossips crashes that the home here has found, without waiting.
+// spread gossips crashes that this instance has found, without waiting.
 func (i *Instance) spread(crashes []suspect.Record) {
 	i.background(func(context.Context) error {
 		for _, c := range crashes {
@@ -172,9 +140,9 @@
 	})
 }
 
-// hearCrash takes a crash report into the suspects of the home.
+// hearCrash takes a crash report into the suspects.
 func (i *Instance) hearCrash(c member.Crash) {
-	i.home.Hear([]suspect.Record{{
+	i.direct.HearCrashes([]suspect.Record{{
 		Fingerprint: c.Fingerprint,
 		Upstream:    c.Upstream,
 		Request:     c.Request,
@@ -203,7 +171,7 @@
 	if current := i.index.Load(); current != nil {
 		out.ManifestTakenUnixUs = current.taken.UnixMicro()
 	}
-	for class, n := range i.home.Queued() {
+	for class, n := range i.direct.Queued() {
 		out.Queued = append(out.Queued, &wire.QueuedClass{Class: string(class), Requests: int64(n)})
 	}
 	return out, nil
--- a/instance/versions.go
+++ b/instance/versions.go
@@ -34,7 +34,7 @@
 }
 
 // takeManifest makes the current manifest the one in force here. Requests see
-// it once the homes are placed by it.
+// it once upstreams are chosen by it.
 func (i *Instance) takeManifest() {
 	version, m, _ := i.manifests.Current()
 	if m == nil || version <= i.version() {
--- a/router/peers.go
+++ b/router/peers.go
@@ -175,7 +175,7 @@
 	for service, c := range r.pools.choosers {
 		s.Demand[string(service)] = float32(c.Demand(now))
 		for upstream, l := range c.Loads(now) {
-			s.Loads = append(s.Loads, loadFrom(upstream, l))
+			s.Loads = append(s.Loads, exchange.LoadFrom(upstream, l))
 		}
 		for upstream, left := range c.Ejected(now) {
 			s.Failing = append(s.Failing, &exchange.Failing{Upstream: string(upstream), ForUs: left.Microseconds()})
@@ -235,7 +235,7 @@
 func (r *Router) hearLoads(now time.Time, s *exchange.State) {
 	loads := make(map[id.Upstream]choice.Load, len(s.Loads))
 	for _, l := range s.Loads {
-		loads[id.Upstream(l.Upstream)] = loadOf(l)
+		loads[id.Upstream(l.Upstream)] = l.Load()
 	}
 	for service, c := range r.pools.choosers {
 		c.Step(now, choice.Heard{
@@ -250,28 +250,6 @@
 	}
 }
 
-func loadFrom(upstream id.Upstream, l choice.Load) *exchange.Load {
-	out := &exchange.Load{Upstream: string(upstream), Running: uint32(l.Running), Sensitive: uint32(l.Sensitive), Memory: uint32(l.Memory),
-		Ended: float32(l.Ended), Failed: float32(l.Failed), Begun: float32(l.Begun), Pace: float32(l.Pace)}
-	for urgency, tokens := range l.Prefill {
-		if tokens > 0 {
-			out.Prefill = append(out.Prefill, &exchange.Prefill{Urgency: uint32(urgency), Tokens: uint32(tokens)})
-		}
-	}
-	return out
-}
-
-func loadOf(l *exchange.Load) choice.Load {
-	out := choice.Load{Running: int(l.Running), Sensitive: int(l.Sensitive), Memory: id.Tokens(l.Memory),
-		Ended: float64(l.Ended), Failed: float64(l.Failed), Begun: float64(l.Begun), Pace: float64(l.Pace)}
-	for _, p := range l.Prefill {
-		if p.Urgency < choice.Urgencies {
-			out.Prefill[p.Urgency] += id.Tokens(p.Tokens)
-		}
-	}
-	return out
-}
-
 func memberFrom(r pulse.Record) *exchange.Member {
 	return &exchange.Member{
 		Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence,
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -44,9 +44,6 @@
 // Request identifies one request of a caller, across its attempts.
 type Request string
 
-// Reservation identifies one wait for, and then use of, an upstream's slot.
-type Reservation string
-
 // Attempt identifies one try at writing a claim, lease or version.
 type Attempt string
 
--- a/state/manifest/manifest.go
+++ b/state/manifest/manifest.go
@@ -33,7 +33,7 @@
 	// MinimumShare of the grants of a pool goes to the class while it
 	// waits; the shares of all classes add up to less than 1.
 	MinimumShare float64 `yaml:"minimum_share" jsonschema:"minimum=0,exclusiveMaximum=1"`
-	// QueueBound is the most requests of the class that wait at one home.
+	// QueueBound is the most requests of the class that wait at one instance.
 	QueueBound int `yaml:"queue_bound" jsonschema:"required,minimum=1"`
 	// LargestPrompt bounds the prompts that are put into this class when
 	// the caller names none; 0 means no bound.
--- a/transport/operator/operator.go
+++ b/transport/operator/operator.go
@@ -122,7 +122,7 @@
 	ManifestTakenAt time.Time `json:"manifest_taken_at,omitzero"`
 	// InFlight counts the callers' requests in progress there.
 	InFlight int `json:"in_flight"`
-	// Queued lists the waiting requests of the home there, by class.
+	// Queued lists the waiting requests there, by class.
 	Queued []ClassQueue `json:"queued"`
 }
 
--- a/transport/peer/clients.go
+++ b/transport/peer/clients.go
@@ -4,7 +4,6 @@
 package peer
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -20,7 +19,7 @@
 
 const (
 	dialTimeout = time.Second
-	// callTimeout bounds every call but Reserve, which its caller bounds.
+	// callTimeout bounds every call.
 	callTimeout = 2 * time.Second
 	// pingAfter and pingTimeout end waiting calls to a machine that is gone.
 	pingAfter   = 1500 * time.Millisecond
@@ -43,7 +42,6 @@
 
 	once      sync.Once
 	transport *http.Transport
-	waiting   *http.Client
 	short     *http.Client
 
 	mu    sync.Mutex
@@ -52,19 +50,14 @@
 
 // clientSet holds the clients of one address.
 type clientSet struct {
-	home   peer.Home
-	entry  peer.Entry
+	load   peer.Load
 	member peer.Member
 
 	control peer.Control
 }
 
-// Home returns the client of the home at a peer address. Reserve is bounded by
-// its context only.
-func (c *Clients) Home(address string) peer.Home { return c.at(address).home }
-
-// Entry returns the client of the entry at a peer address.
-func (c *Clients) Entry(address string) peer.Entry { return c.at(address).entry }
+// Load returns the client to which loads are told at a peer address.
+func (c *Clients) Load(address string) peer.Load { return c.at(address).load }
 
 // Member returns the client of the member at a peer address.
 func (c *Clients) Member(address string) peer.Member { return c.at(address).member }
@@ -99,11 +92,7 @@
 	}
 	url := "http://" + address
 	set := &clientSet{
-		home: homeClient{
-			Home:    peer.NewHomeProtobufClient(url, c.short),
-			waiting: peer.NewHomeProtobufClient(url, c.waiting),
-		},
-		entry:  peer.NewEntryProtobufClient(url, c.short),
+		load:   peer.NewLoadProtobufClient(url, c.short),
 		member: peer.NewMemberProtobufClient(url, c.short),
 
 		control: peer.NewControlProtobufClient(url, c.short),
@@ -120,7 +109,6 @@
 		tripper = c.Wrap(tripper)
 	}
 	tripper = &secret.Shown{Secret: c.Secret, Next: tripper}
-	c.waiting = &http.Client{Transport: tripper}
 	c.short = &http.Client{Transport: tripper, Timeout: callTimeout}
 }
 
@@ -140,16 +128,6 @@
 	}
 }
 
-// homeClient sends Reserve, which waits, through a client without a timeout.
-type homeClient struct {
-	peer.Home
-	waiting peer.Home
-}
-
-func (h homeClient) Reserve(ctx context.Context, r *peer.ReserveRequest) (*peer.ReserveResponse, error) {
-	return h.waiting.Reserve(ctx, r)
-}
-
 // EvidenceOf says what a failed call tells about its peer.
 func EvidenceOf(err error) member.Evidence {
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -16,8 +16,7 @@
 
 // Services are what an instance offers to others. A nil one is not served.
 type Services struct {
-	Home    peer.Home
-	Entry   peer.Entry
+	Load    peer.Load
 	Member  peer.Member
 	Control peer.Control
 	Limit   peer.Limit
@@ -25,11 +24,8 @@
 
 func (s Services) servers() []peer.TwirpServer {
 	var servers []peer.TwirpServer
-	if s.Home != nil {
-		servers = append(servers, peer.NewHomeServer(s.Home))
-	}
-	if s.Entry != nil {
-		servers = append(servers, peer.NewEntryServer(s.Entry))
+	if s.Load != nil {
+		servers = append(servers, peer.NewLoadServer(s.Load))
 	}
 	if s.Member != nil {
 		servers = append(servers, peer.NewMemberServer(s.Member))
