--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -189,7 +189,7 @@
 func (e *Engine) readPrefix(s *stream, request *completionRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	share := e.cache.read(time.Now().Add(e.EventDelay), request.Model, request.Messages)
+	share := e.cache.read(request.Model, request.Messages)
 	s.prefillLeft -= share * float64(s.prompt)
 }
 
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -29,7 +29,7 @@
 	Crash Kind = "crash"
 	// Stall keeps connections open and makes no progress.
 	Stall Kind = "stall"
-	// StaleReport stops the refreshing of load reports or instance lists.
+	// StaleReport stops the refreshing of instance lists.
 	StaleReport Kind = "stale_report"
 )
 
