--- /dev/null
+++ b/coordination/admission/benchmark_test.go
@@ -0,0 +1,67 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/admission"
+	"samphirehead/coordination/suspect"
+	"samphirehead/state/id"
+	"samphirehead/state/manifest"
+)
+
+// slots are upstreams that only count, so that the queue alone is measured.
+type slots struct{ free, all int }
+
+func (s *slots) Place(time.Time, admission.Request, id.Tokens, func(id.Upstream) bool) (id.Upstream, admission.Placement) {
+	if s.free == 0 {
+		return "", admission.Busy
+	}
+	s.free--
+	return "e0", admission.Placed
+}
+
+func (s *slots) Room(time.Time, id.Pool) (free, all int)    { return s.free, s.all }
+func (*slots) Near(p id.Pool) []id.Pool                     { return []id.Pool{p} }
+func (*slots) Yields(id.Pool, id.Upstream) bool             { return false }
+func (*slots) PrefillTime(id.Pool, id.Tokens) time.Duration { return 0 }
+
+// BenchmarkTurn measures one turn of a loaded queue: an arrival, and an end with
+// the next grant, by the number of workspaces.
+func BenchmarkTurn(b *testing.B) {
+	for _, workspaces := range []int{10, 1000, 37000} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			s := &slots{free: 80, all: 80}
+			q := admission.Queue{Upstreams: s, Suspects: &suspect.Tracker{}}
+			quick, dossier := class("quick", 1, 0), class("dossier", 2, 0.1)
+			quick.QueueBound, dossier.QueueBound = 1<<20, 1<<20
+			now := start
+			q.Step(now, admission.Configured{Classes: []manifest.Class{quick, dossier}})
+			next := 0
+			var running []admission.Ticket
+			arrive := func() {
+				r := request(next, []id.Class{"quick", "dossier"}[next%2], id.Workspace(fmt.Sprintf("w%d", next%workspaces)))
+				r.Fingerprint = id.Fingerprint(next + 1)
+				next++
+				for _, g := range granted(q.Step(now, admission.Arrived{Request: r})) {
+					running = append(running, g.Ticket)
+				}
+			}
+			for range workspaces + 80 {
+				arrive()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				arrive()
+				oldest := running[0]
+				running = running[1:]
+				s.free++
+				for _, g := range granted(q.Step(now, released(oldest, 100))) {
+					running = append(running, g.Ticket)
+				}
+			}
+		})
+	}
+}
--- a/instance/direct/direct_test.go
+++ b/instance/direct/direct_test.go
@@ -21,7 +21,7 @@
 )
 
 // newDispatcher serves engines of one slot each; the first resumes answers.
-func newDispatcher(t *testing.T, engines int) *direct.Dispatcher {
+func newDispatcher(t testing.TB, engines int) *direct.Dispatcher {
 	t.Helper()
 	m := &manifest.Manifest{
 		Models: []manifest.Model{{Name: model}},
