router: leave by the machine that serve leaves by

router/leaving.go decided in the shell what coordination/leave decides as a machine. The machine learns of callers' time and of a platform that ends the process (CallersFor, Grace); its test plays both. The instants are those of before: three lifetimes of the directory's answers, 0.6 s before the grace ends.

--- a/coordination/leave/leave.go
+++ b/coordination/leave/leave.go
@@ -2,6 +2,7 @@
 package leave
 
 import (
+	"cmp"
 	"time"
 
 	"samphirehead/coordination/entries"
@@ -63,8 +64,15 @@
 	// Margin is set before the first Step; 0 means DefaultMargin. It is less
 	// than a second, so that no new work is taken 3 s after Asked.
 	Margin time.Duration
+	// CallersFor is how long callers keep the answers that name the instance;
+	// 0 means entries.Lifetime.
+	CallersFor time.Duration
+	// Grace, unless 0, is when the instance is Done whatever is in progress.
+	Grace time.Duration
 
 	phase Phase
+	// askedAt is when the shutdown began; zero until then.
+	askedAt time.Time
 	// refuseAt is when new work is refused; set once Announced.
 	refuseAt time.Time
 	work     InFlight
@@ -75,7 +83,8 @@
 	switch ev := ev.(type) {
 	case Asked:
 		if m.Phase() == Serving {
-			m.refuseAt = now.Add(entries.Lifetime + m.margin())
+			m.askedAt = now
+			m.refuseAt = now.Add(cmp.Or(m.CallersFor, entries.Lifetime) + cmp.Or(m.Margin, DefaultMargin))
 			return m.enter(Announced)
 		}
 	case InFlight:
@@ -104,8 +113,21 @@
 // Done reports whether the process may exit.
 func (m *Machine) Done() bool { return m.Phase() == Done }
 
+// Begun reports whether the shutdown has begun.
+func (m *Machine) Begun() bool { return m.Phase() != Serving }
+
+// Left returns how much of Grace is left.
+func (m *Machine) Left(now time.Time) time.Duration {
+	if !m.Begun() {
+		return m.Grace
+	}
+	return m.askedAt.Add(m.Grace).Sub(now)
+}
+
 func (m *Machine) advance(now time.Time) []Effect {
 	switch {
+	case m.Begun() && !m.Done() && m.Grace > 0 && m.Left(now) <= 0:
+		return m.enter(Done)
 	case m.phase == Announced && !now.Before(m.refuseAt):
 		// The end waits for a count made after the refusal began, as work
 		// may have come since the last one.
@@ -121,10 +143,3 @@
 	m.phase = p
 	return []Effect{Entered{Phase: p}}
 }
-
-func (m *Machine) margin() time.Duration {
-	if m.Margin == 0 {
-		return DefaultMargin
-	}
-	return m.Margin
-}
--- a/coordination/leave/leave_test.go
+++ b/coordination/leave/leave_test.go
@@ -38,6 +38,35 @@
 	}
 }
 
+// An instance whose platform ends it after a while is done before, with what it
+// has in progress, and not before its callers can have gone.
+func TestGraceEndsAShutdown(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := &leave.Machine{CallersFor: 2 * time.Second, Margin: time.Second, Grace: 7 * time.Second}
+	if got := m.Left(start); got != 7*time.Second || m.Begun() {
+		t.Errorf("before the shutdown %s are left", got)
+	}
+	for _, c := range []struct {
+		after time.Duration
+		event leave.Event
+		want  leave.Phase
+	}{
+		{0, leave.Asked{}, leave.Announced},
+		{2900 * time.Millisecond, leave.InFlight{}, leave.Announced},
+		{3 * time.Second, leave.InFlight{Requests: 1}, leave.Refusing},
+		{6900 * time.Millisecond, leave.InFlight{Requests: 1}, leave.Refusing},
+		{7 * time.Second, leave.InFlight{Requests: 1}, leave.Done},
+	} {
+		m.Step(start.Add(c.after), c.event)
+		if m.Phase() != c.want {
+			t.Fatalf("after %s: %s, want %s", c.after, m.Phase(), c.want)
+		}
+		if got := m.Left(start.Add(c.after)); got != 7*time.Second-c.after {
+			t.Errorf("after %s: %s left", c.after, got)
+		}
+	}
+}
+
 // TestPromises checks after each of many random events that no request is
 // cut, no new work is taken after 3 s, and no phase is undone.
 func TestPromises(t *testing.T) {
--- a/router/leaving.go
+++ b/router/leaving.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/leave"
 )
 
 const (
@@ -18,40 +19,53 @@
 	leavePoll   = 20 * time.Millisecond
 )
 
-// leaving tracks the end of this instance.
+// leaving drives the end of this instance. Unlike one of serve it takes late
+// callers' requests to its end.
 type leaving struct {
-	once sync.Once
-	// since is when it began; nil while it has not.
-	since atomic.Pointer[time.Time]
-	grace time.Duration
+	mu      sync.Mutex
+	machine leave.Machine
+	once    sync.Once
 	// asked is closed, and announced receives, when it begins.
 	asked     chan struct{}
 	announced chan struct{}
 }
 
-func (l *leaving) init(grace time.Duration) {
-	l.grace = grace
+func (l *leaving) init(grace, entryLifetime time.Duration) {
+	l.machine = leave.Machine{CallersFor: lateCallers*entryLifetime - leave.DefaultMargin, Grace: max(grace-leaveMargin, 1)}
 	l.asked = make(chan struct{})
 	l.announced = make(chan struct{}, 1)
 }
 
-func (l *leaving) begun() bool { return l.since.Load() != nil }
+func (l *leaving) step(now time.Time, ev leave.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.machine.Step(now, ev)
+}
+
+func (l *leaving) begun() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Begun()
+}
+
+func (l *leaving) done() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Done()
+}
 
 // left returns how long a request that is taken now may run.
 func (l *leaving) left(now time.Time) time.Duration {
-	since := l.since.Load()
-	if since == nil {
-		return l.grace
-	}
-	return since.Add(l.grace - leaveMargin).Sub(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Left(now)
 }
 
 // Leave makes the instance end once callers have gone and its requests are
 // done.
 func (r *Router) Leave() {
 	r.leaving.once.Do(func() {
-		now := time.Now()
-		r.leaving.since.Store(&now)
+		r.leaving.step(time.Now(), leave.Asked{})
 		close(r.leaving.asked)
 		r.leaving.announced <- struct{}{}
 		klog.InfoS("leaving", "in_flight", r.inFlight.Load())
@@ -65,18 +79,15 @@
 		return nil
 	case <-r.leaving.asked:
 	}
-	began := *r.leaving.since.Load()
 	ticker := time.NewTicker(leavePoll)
 	defer ticker.Stop()
-	for {
+	for !r.leaving.done() {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			late := now.Sub(began) >= lateCallers*r.Settings.EntryLifetime
-			if late && r.inFlight.Load() == 0 || r.leaving.left(now) <= 0 {
-				return nil
-			}
+			r.leaving.step(now, leave.InFlight{Requests: int(r.inFlight.Load())})
 		}
 	}
+	return nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -149,7 +149,7 @@
 	}
 	r.suspects.Crashes = crashLimit
 	r.applyRetries(r.Settings)
-	r.leaving.init(r.Settings.Grace)
+	r.leaving.init(r.Settings.Grace, r.Settings.EntryLifetime)
 	if err := r.listen(); err != nil {
 		return err
 	}
