exchange: one message and one record for a crash

member.Crash was suspect.Record once more, and peer's message exchange's, with four mappings between them in instance, members, peer and router. A report from the future counts as of now in all of them; before, only members took care.

--- a/coordination/member/crashes.go
+++ b/coordination/member/crashes.go
@@ -4,6 +4,7 @@
 	"math/bits"
 	"time"
 
+	"samphirehead/coordination/suspect"
 	"samphirehead/state/id"
 )
 
@@ -16,14 +17,6 @@
 	crashLifetime = 30 * time.Second
 )
 
-// Crash reports that an upstream crashed under a request.
-type Crash struct {
-	Fingerprint id.Fingerprint
-	Upstream    id.Upstream
-	Request     id.Request
-	At          time.Time
-}
-
 // Crashes spreads crash reports with gossip. The zero value is ready. It is
 // not safe for concurrent use.
 type Crashes struct {
@@ -32,7 +25,7 @@
 }
 
 type heldCrash struct {
-	Crash
+	suspect.Record
 	// left counts the messages that are still to carry the report.
 	left int
 }
@@ -43,14 +36,14 @@
 	request     id.Request
 }
 
-func (c Crash) key() crashKey { return crashKey{c.Fingerprint, c.Upstream, c.Request} }
+func keyOf(r suspect.Record) crashKey { return crashKey{r.Fingerprint, r.Upstream, r.Request} }
 
 // Add takes in a report and returns whether it is new. members is the number
 // of instances that it has to reach.
-func (c *Crashes) Add(now time.Time, report Crash, members int) bool {
+func (c *Crashes) Add(now time.Time, report suspect.Record, members int) bool {
 	c.expire(now)
 	for _, h := range c.held {
-		if h.key() == report.key() {
+		if keyOf(h.Record) == keyOf(report) {
 			return false
 		}
 	}
@@ -60,19 +53,19 @@
 	if len(c.held) == maxHeldCrashes {
 		c.held = c.held[1:]
 	}
-	c.held = append(c.held, heldCrash{Crash: report, left: spreadFactor * bits.Len(uint(members))})
+	c.held = append(c.held, heldCrash{Record: report, left: spreadFactor * bits.Len(uint(members))})
 	return true
 }
 
 // Take returns the reports for one message, at most MaxCrashes, the latest
 // first.
-func (c *Crashes) Take(now time.Time) []Crash {
+func (c *Crashes) Take(now time.Time) []suspect.Record {
 	c.expire(now)
-	var taken []Crash
+	var taken []suspect.Record
 	for i := len(c.held) - 1; i >= 0 && len(taken) < MaxCrashes; i-- {
 		if c.held[i].left > 0 {
 			c.held[i].left--
-			taken = append(taken, c.held[i].Crash)
+			taken = append(taken, c.held[i].Record)
 		}
 	}
 	return taken
--- a/instance/learn.go
+++ b/instance/learn.go
@@ -8,9 +8,9 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/member"
-	"samphirehead/coordination/suspect"
 	"samphirehead/instance/atmostonce"
 	"samphirehead/instance/leases"
+	"samphirehead/protocol/exchange"
 	wire "samphirehead/protocol/peer"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
@@ -73,17 +73,7 @@
 	if err != nil {
 		return fault.At("learn crashes", string(r.Instance), err)
 	}
-	now := time.Now()
-	records := make([]suspect.Record, len(answer.Crashes))
-	for n, c := range answer.Crashes {
-		records[n] = suspect.Record{
-			Fingerprint: id.Fingerprint(c.Fingerprint),
-			Upstream:    id.Upstream(c.Upstream),
-			Request:     id.Request(c.Request),
-			At:          now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
-		}
-	}
-	i.direct.HearCrashes(records)
+	i.direct.HearCrashes(exchange.RecordsOf(answer.Crashes, time.Now()))
 	return nil
 }
 
@@ -91,17 +81,7 @@
 func (c *controlServer) Crashes(_ context.Context, r *wire.CrashesRequest) (*wire.CrashesResponse, error) {
 	i := (*Instance)(c)
 	i.seen(r.Stamp)
-	now := time.Now()
-	out := &wire.CrashesResponse{Stamp: i.stamp()}
-	for _, known := range i.direct.Crashes() {
-		out.Crashes = append(out.Crashes, &wire.Crash{
-			Fingerprint: uint64(known.Fingerprint),
-			Upstream:    string(known.Upstream),
-			Request:     string(known.Request),
-			AgeUs:       now.Sub(known.At).Microseconds(),
-		})
-	}
-	return out, nil
+	return &wire.CrashesResponse{Stamp: i.stamp(), Crashes: exchange.CrashesFrom(i.direct.Crashes(), time.Now())}, nil
 }
 
 // expireClaims deletes old claims, at one instance at a time.
--- a/instance/members/cost_test.go
+++ b/instance/members/cost_test.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"samphirehead/coordination/member"
+	"samphirehead/coordination/suspect"
 	"samphirehead/instance/members"
 	wire "samphirehead/protocol/peer"
 	"samphirehead/state/id"
@@ -156,7 +157,7 @@
 			return &wire.Stamp{Instance: string(self.Instance), Incarnation: 1 << 60, ManifestVersion: 100000}
 		},
 		Seen:      func(*wire.Stamp) {},
-		HearCrash: func(member.Crash) {},
+		HearCrash: func(suspect.Record) {},
 		Manifest:  func() *wire.FetchManifestResponse { return &wire.FetchManifestResponse{} },
 	}
 }
--- a/instance/members/members.go
+++ b/instance/members/members.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/member"
+	"samphirehead/coordination/suspect"
 	"samphirehead/protocol/peer"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
@@ -43,7 +44,7 @@
 	// Seen hears the stamp of each message.
 	Seen func(s *peer.Stamp)
 	// HearCrash hears each crash report of others once.
-	HearCrash func(c member.Crash)
+	HearCrash func(c suspect.Record)
 	// Manifest is served to instances that are behind.
 	Manifest func() *peer.FetchManifestResponse
 
@@ -207,7 +208,7 @@
 }
 
 // ReportCrash spreads the report of a crash that this instance saw.
-func (m *Members) ReportCrash(c member.Crash) {
+func (m *Members) ReportCrash(c suspect.Record) {
 	m.mu.Lock()
 	isNew := m.crashes.Add(time.Now(), c, m.Machine.Known())
 	m.mu.Unlock()
--- a/instance/members/members_test.go
+++ b/instance/members/members_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"samphirehead/coordination/member"
+	"samphirehead/coordination/suspect"
 	"samphirehead/instance/members"
 	wire "samphirehead/protocol/peer"
 	"samphirehead/state/id"
@@ -27,7 +28,7 @@
 	done    chan error
 
 	mu       sync.Mutex
-	crashes  []member.Crash
+	crashes  []suspect.Record
 	versions map[string]uint64
 }
 
@@ -72,7 +73,7 @@
 			defer p.mu.Unlock()
 			p.versions[s.Instance] = s.ManifestVersion
 		},
-		HearCrash: func(c member.Crash) {
+		HearCrash: func(c suspect.Record) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.crashes = append(p.crashes, c)
@@ -145,7 +146,7 @@
 		return len(p.versions) == 3 && p.versions["i2"] == 12
 	})
 
-	crash := member.Crash{Fingerprint: 7, Upstream: "u", Request: "r", At: time.Now()}
+	crash := suspect.Record{Fingerprint: 7, Upstream: "u", Request: "r", At: time.Now()}
 	all[1].members.ReportCrash(crash)
 	eventually(t, "the crash is heard by all others", func() bool { return countHeard(all, 7) == 3 })
 
--- a/instance/members/probe.go
+++ b/instance/members/probe.go
@@ -7,6 +7,8 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/member"
+	"samphirehead/coordination/suspect"
+	"samphirehead/protocol/exchange"
 	"samphirehead/protocol/peer"
 	"samphirehead/state/id"
 )
@@ -88,11 +90,11 @@
 	return response, nil
 }
 
-func (m *Members) hear(stamp *peer.Stamp, crashes []*peer.Crash) {
+func (m *Members) hear(stamp *peer.Stamp, crashes []*exchange.Crash) {
 	m.seen(stamp)
 	now := time.Now()
-	for _, c := range crashes {
-		m.hearCrash(now, c.Report(now))
+	for _, r := range exchange.RecordsOf(crashes, now) {
+		m.hearCrash(now, r)
 	}
 }
 
@@ -102,7 +104,7 @@
 	}
 }
 
-func (m *Members) hearCrash(now time.Time, c member.Crash) {
+func (m *Members) hearCrash(now time.Time, c suspect.Record) {
 	m.mu.Lock()
 	isNew := m.crashes.Add(now, c, m.Machine.Known())
 	m.mu.Unlock()
@@ -111,11 +113,11 @@
 	}
 }
 
-func (m *Members) takeCrashes() []*peer.Crash {
+func (m *Members) takeCrashes() []*exchange.Crash {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return peer.CrashesFrom(m.crashes.Take(now), now)
+	return exchange.CrashesFrom(m.crashes.Take(now), now)
 }
 
 var _ peer.Member = (*Members)(nil)
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -10,6 +10,7 @@
 	"samphirehead/coordination/member"
 	"samphirehead/coordination/suspect"
 	"samphirehead/instance/members"
+	"samphirehead/protocol/exchange"
 	wire "samphirehead/protocol/peer"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
@@ -97,7 +98,7 @@
 // live instances know, or after crashTimeout, so that a caller who sends the
 // request again meets the suspicion wherever it turns.
 func (i *Instance) crashed(u id.Upstream, request id.Request, f id.Fingerprint) {
-	c := member.Crash{Fingerprint: f, Upstream: u, Request: request, At: time.Now()}
+	c := suspect.Record{Fingerprint: f, Upstream: u, Request: request, At: time.Now()}
 	i.hearCrash(c)
 	i.members.ReportCrash(c)
 	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
@@ -118,14 +119,10 @@
 	}
 }
 
-func (i *Instance) tellCrash(ctx context.Context, r member.Record, c member.Crash) error {
+func (i *Instance) tellCrash(ctx context.Context, r member.Record, c suspect.Record) error {
 	_, err := i.clients.Member(r.PeerAddress).Probe(ctx, &wire.ProbeRequest{
-		Stamp: i.stamp(),
-		Crashes: []*wire.Crash{{
-			Fingerprint: uint64(c.Fingerprint),
-			Upstream:    string(c.Upstream),
-			Request:     string(c.Request),
-		}},
+		Stamp:   i.stamp(),
+		Crashes: exchange.CrashesFrom([]suspect.Record{c}, c.At),
 	})
 	return fault.At("report crash", string(r.Instance), err)
 }
@@ -134,20 +131,15 @@
 func (i *Instance) spread(crashes []suspect.Record) {
 	i.background(func(context.Context) error {
 		for _, c := range crashes {
-			i.members.ReportCrash(member.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Request: c.Request, At: c.At})
+			i.members.ReportCrash(c)
 		}
 		return nil
 	})
 }
 
 // hearCrash takes a crash report into the suspects.
-func (i *Instance) hearCrash(c member.Crash) {
-	i.direct.HearCrashes([]suspect.Record{{
-		Fingerprint: c.Fingerprint,
-		Upstream:    c.Upstream,
-		Request:     c.Request,
-		At:          c.At,
-	}})
+func (i *Instance) hearCrash(c suspect.Record) {
+	i.direct.HearCrashes([]suspect.Record{c})
 }
 
 // controlServer lets other instances serve operators on behalf of this one.
--- a/protocol/peer/members.go
+++ b/protocol/peer/members.go
@@ -3,8 +3,6 @@
 package peer
 
 import (
-	"time"
-
 	"samphirehead/coordination/member"
 	"samphirehead/state/id"
 )
@@ -48,28 +46,3 @@
 	}
 	return out
 }
-
-// CrashesFrom makes the messages of crash reports. Times become relative to
-// now.
-func CrashesFrom(crashes []member.Crash, now time.Time) []*Crash {
-	out := make([]*Crash, len(crashes))
-	for i, c := range crashes {
-		out[i] = &Crash{
-			Fingerprint: uint64(c.Fingerprint),
-			Upstream:    string(c.Upstream),
-			Request:     string(c.Request),
-			AgeUs:       max(now.Sub(c.At), 0).Microseconds(),
-		}
-	}
-	return out
-}
-
-// Report reads a crash report that was received at now.
-func (c *Crash) Report(now time.Time) member.Crash {
-	return member.Crash{
-		Fingerprint: id.Fingerprint(c.Fingerprint),
-		Upstream:    id.Upstream(c.Upstream),
-		Request:     id.Request(c.Request),
-		At:          now.Add(-max(time.Duration(c.AgeUs)*time.Microsecond, 0)),
-	}
-}
--- a/router/peers.go
+++ b/router/peers.go
@@ -191,14 +191,7 @@
 	for len(r.crashes) > 0 && now.Sub(r.crashes[0].At) > crashesFor {
 		r.crashes = r.crashes[1:]
 	}
-	var reports []*exchange.Crash
-	for _, c := range r.crashes[max(0, len(r.crashes)-maxCrashes):] {
-		reports = append(reports, &exchange.Crash{
-			Fingerprint: uint64(c.Fingerprint), Upstream: string(c.Upstream),
-			Request: string(c.Request), AgeUs: now.Sub(c.At).Microseconds(),
-		})
-	}
-	return reports
+	return exchange.CrashesFrom(r.crashes[max(0, len(r.crashes)-maxCrashes):], now)
 }
 
 // hear takes in what another instance knows.
@@ -221,14 +214,7 @@
 			r.upstreams.peerReached = now
 		}
 	}
-	records := make([]suspect.Record, len(s.Crashes))
-	for i, c := range s.Crashes {
-		records[i] = suspect.Record{
-			Fingerprint: id.Fingerprint(c.Fingerprint), Upstream: id.Upstream(c.Upstream),
-			Request: id.Request(c.Request), At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
-		}
-	}
-	r.suspects.Step(now, suspect.Heard{Records: records})
+	r.suspects.Step(now, suspect.Heard{Records: exchange.RecordsOf(s.Crashes, now)})
 }
 
 // hearLoads is called with r.mu held.
