lease: remove what only orders to engines needed

Nothing sends orders since placement left; MayOrder, the order bound and the wait for orders in flight were asked by tests only. Holds tells whether the lease is held.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -28,8 +28,6 @@
 // Defaults and fixed shares of a lease's duration.
 const (
 	DefaultDuration = 10 * time.Second
-	// DefaultOrderBound is the longest that an order may be in flight.
-	DefaultOrderBound = 5 * time.Second
 
 	// renewals is how often a holder renews within the duration.
 	renewals = 4
@@ -99,7 +97,7 @@
 type Acquired struct{ Number id.FencingNumber }
 
 // Lost reports that the lease is no longer held. A paused holder learns it
-// late: before each order it asks MayOrder.
+// late: its work ends with the time of the lease, not with this.
 type Lost struct{ Number id.FencingNumber }
 
 func (ReadRow) effect()  {}
@@ -119,10 +117,6 @@
 	// Duration is how long a lease lasts from its last renewal; 0 means
 	// DefaultDuration.
 	Duration time.Duration
-	// OrderBound is the longest that an order may be in flight; 0 means
-	// DefaultOrderBound. A new holder waits as long before it orders
-	// engines that do not check fencing numbers.
-	OrderBound time.Duration
 
 	started  bool
 	resigned bool
@@ -132,8 +126,6 @@
 	// until is when the lease ends for this holder, with the margin taken
 	// off.
 	until time.Time
-	// unfencedFrom is when engines that check nothing may be ordered.
-	unfencedFrom time.Time
 	// version is of the row as this process wrote it last.
 	version record.Version
 	// writes counts the writes that were proposed.
@@ -149,16 +141,12 @@
 	next       time.Time
 }
 
-// MayOrder reports whether an order may be sent at now, and the fencing number
-// that it carries. The order must be abandoned at the time returned.
-func (l *Lease) MayOrder(now time.Time, checksFencing bool) (number id.FencingNumber, until time.Time, may bool) {
+// Holds reports whether the lease is held at now, and its number.
+func (l *Lease) Holds(now time.Time) (id.FencingNumber, bool) {
 	if !l.held || !now.Before(l.until) {
-		return 0, time.Time{}, false
+		return 0, false
 	}
-	if !checksFencing && now.Before(l.unfencedFrom) {
-		return 0, time.Time{}, false
-	}
-	return l.number, earlier(l.until, now.Add(l.orderBound())), true
+	return l.number, true
 }
 
 // Idle reports whether the machine neither holds nor seeks the lease.
@@ -193,13 +181,6 @@
 	return l.Duration
 }
 
-func (l *Lease) orderBound() time.Duration {
-	if l.OrderBound == 0 {
-		return DefaultOrderBound
-	}
-	return l.OrderBound
-}
-
 func (l *Lease) margin() time.Duration { return l.duration() / marginShare }
 
 // expire ends a lease whose time has passed.
@@ -336,7 +317,6 @@
 	}
 	l.until = l.sentAt.Add(l.duration() - l.margin())
 	if taken {
-		l.unfencedFrom = now.Add(l.orderBound() + l.margin())
 	}
 	if !now.Before(l.until) {
 		return l.lose()
--- a/instance/leases/leases.go
+++ b/instance/leases/leases.go
@@ -49,17 +49,6 @@
 	done chan struct{}
 }
 
-// MayOrder reports whether an order may be sent now, its fencing number and
-// when it must be abandoned.
-func (l *Lease) MayOrder(checksFencing bool) (number id.FencingNumber, until time.Time, may bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.machine == nil {
-		return 0, time.Time{}, false
-	}
-	return l.machine.MayOrder(time.Now(), checksFencing)
-}
-
 // Run competes until ctx ends; then it stops the work and releases the lease.
 func (l *Lease) Run(ctx context.Context) error {
 	l.mu.Lock()
