--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -308,7 +308,6 @@
 
 // hold counts the lease from the moment before its write was first sent.
 func (l *Lease) hold(now time.Time, version record.Version, number id.FencingNumber) []Effect {
-	taken := number != l.number
 	l.version = version
 	l.number = number
 	if l.resigned {
@@ -316,8 +315,6 @@
 		return nil
 	}
 	l.until = l.sentAt.Add(l.duration() - l.margin())
-	if taken {
-	}
 	if !now.Before(l.until) {
 		return l.lose()
 	}
