--- a/coordination/choice/change.go
+++ b/coordination/choice/change.go
@@ -34,6 +34,7 @@
 // Change is a new belief.
 type Change struct {
 	Upstream id.Upstream
+	Service  id.Service
 	Belief   Belief
 	// Cause and For, how long it is kept away from, are those of an ejection.
 	Cause Cause
@@ -44,6 +45,14 @@
 	Failed, Ended, Slowness float64
 }
 
+// Fields returns the change as keys and values of a log line.
+func (c Change) Fields() []any {
+	return []any{
+		"upstream", c.Upstream, "service", c.Service, "belief", c.Belief, "cause", c.Cause, "for", c.For,
+		"failed", c.Failed, "ended", c.Ended, "slowness", c.Slowness,
+	}
+}
+
 // Changes returns the new beliefs since it was last asked, in order.
 func (c *Chooser) Changes() []Change {
 	changes := c.changes
@@ -60,7 +69,7 @@
 	u.belief = b
 	load := c.load(now, u)
 	change := Change{
-		Upstream: u.Upstream, Belief: b, Cause: cause,
+		Upstream: u.Upstream, Service: c.service.Name, Belief: b, Cause: cause,
 		Failed: load.Failed, Ended: load.Ended, Slowness: load.slowness(c.total(now)),
 	}
 	if b == Ejected {
--- a/instance/direct/upstreams.go
+++ b/instance/direct/upstreams.go
@@ -245,10 +245,9 @@
 
 // logBeliefs logs which upstreams are held to be good or not from now on.
 func (u *upstreams) logBeliefs() {
-	for group, c := range u.choosers {
+	for _, c := range u.choosers {
 		for _, b := range c.Changes() {
-			klog.InfoS("upstream belief", "service", group, "upstream", b.Upstream, "belief", b.Belief, "cause", b.Cause,
-				"for", b.For, "failed", b.Failed, "ended", b.Ended, "slowness", b.Slowness)
+			klog.InfoS("upstream judged", b.Fields()...)
 		}
 	}
 }
--- a/router/peers.go
+++ b/router/peers.go
@@ -232,7 +232,7 @@
 		for _, f := range s.Failing {
 			c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
 		}
-		logBeliefs(service, c)
+		logBeliefs(c)
 	}
 }
 
--- a/router/pools.go
+++ b/router/pools.go
@@ -76,14 +76,13 @@
 	defer r.mu.Unlock()
 	if c, ok := r.pools.choosers[service]; ok {
 		c.Step(time.Now(), ev)
-		logBeliefs(service, c)
+		logBeliefs(c)
 	}
 }
 
 // logBeliefs logs what a chooser newly holds of its upstreams.
-func logBeliefs(service id.Service, c *choice.Chooser) {
+func logBeliefs(c *choice.Chooser) {
 	for _, b := range c.Changes() {
-		klog.InfoS("upstream judged", "upstream", b.Upstream, "service", service, "belief", b.Belief, "cause", b.Cause,
-			"for", b.For, "failed", b.Failed, "ended", b.Ended, "slowness", b.Slowness)
+		klog.InfoS("upstream judged", b.Fields()...)
 	}
 }
