exchange: drop counts of a peer's load that no load can have

Noticed at the last landing: a NaN of an authenticated peer went into the sums over all entries, after which no upstream was ever found slow or failing.

--- a/protocol/exchange/load.go
+++ b/protocol/exchange/load.go
@@ -3,6 +3,8 @@
 package exchange
 
 import (
+	"math"
+
 	"samphirehead/coordination/choice"
 	"samphirehead/state/id"
 )
@@ -19,10 +21,13 @@
 	return out
 }
 
-// Load reads the message of a load.
+// Load reads the message of a load. Counts that no load can have become 0, so
+// that a peer's faulty figure does not spoil the sums.
 func (l *Load) Load() choice.Load {
-	out := choice.Load{Running: int(l.Running), Sensitive: int(l.Sensitive), Memory: id.Tokens(l.Memory),
-		Ended: float64(l.Ended), Failed: float64(l.Failed), Begun: float64(l.Begun), Pace: float64(l.Pace)}
+	out := choice.Load{
+		Running: int(l.Running), Sensitive: int(l.Sensitive), Memory: id.Tokens(l.Memory),
+		Ended: count(l.Ended), Failed: count(l.Failed), Begun: count(l.Begun), Pace: count(l.Pace),
+	}
 	for _, p := range l.Prefill {
 		if p.Urgency < choice.Urgencies {
 			out.Prefill[p.Urgency] += id.Tokens(p.Tokens)
@@ -30,3 +35,10 @@
 	}
 	return out
 }
+
+func count(n float32) float64 {
+	if !(n >= 0) || math.IsInf(float64(n), 1) {
+		return 0
+	}
+	return float64(n)
+}
