loads: take a failed exchange as evidence of a lost instance

Cause: calls to homes that failed brought forward the members' next probe (Notice), and with them the news of who had come; the exchange of loads, which took their place, kept its failures to itself. A death was then found by the rounds of probes, new instances were named later (a second after their start instead of 0.67 s, one trace each), and callers whose answers named only instances that died went without. Ruled out: the learning of crashes (0.1 s in both).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -23,6 +23,7 @@
 	"samphirehead/instance/dispatch"
 	"samphirehead/instance/entry"
 	"samphirehead/instance/limits"
+	"samphirehead/instance/loads"
 	"samphirehead/instance/manifests"
 	"samphirehead/instance/members"
 	"samphirehead/state/fault"
@@ -62,6 +63,7 @@
 	members     *members.Members
 	manifests   *manifests.Manifests
 	direct      *direct.Dispatcher
+	loads       *loads.Exchange
 	limits      *limits.Limits
 	entry       *entry.Entry
 	leaving     leaving
@@ -153,6 +155,14 @@
 		Spread:        i.spread,
 	}
 	i.direct.Init()
+	i.loads = &loads.Exchange{
+		Peers:  i.otherMembers,
+		Remote: i.clients.Load,
+		State:  i.loadState,
+		Hear:   i.hearLoad,
+		Failed: func(instance id.Instance) { i.members.Notice(instance) },
+		Random: newRandom(i.incarnation),
+	}
 }
 
 func (i *Instance) buildEntry() {
@@ -220,7 +230,7 @@
 		{Name: "members", Run: i.members.Run},
 		{Name: "manifests", Run: i.manifests.Run},
 		{Name: "dispatcher", Run: i.direct.Run},
-		{Name: "loads", Run: i.tellLoads},
+		{Name: "loads", Run: i.loads.Run},
 		{Name: "limits", Run: i.limits.Run},
 		{Name: "reconfiguration", Run: i.watch},
 		{Name: "calls in the background", Run: i.runBackground},
@@ -294,7 +304,7 @@
 
 func (i *Instance) peerServer() *http.Server {
 	server := peer.NewServer(peer.Handler(i.Settings.PeerSecret.Reveal(), peer.Services{
-		Load:    (*loadServer)(i),
+		Load:    i.loads,
 		Member:  i.members,
 		Control: (*controlServer)(i),
 		Limit:   i.limits,
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -142,6 +143,24 @@
 	i.direct.HearCrashes([]suspect.Record{c})
 }
 
+// otherMembers lists the live members but this one.
+func (i *Instance) otherMembers() []member.Record {
+	return slices.DeleteFunc(slices.Clone(i.members.Live()), func(r member.Record) bool {
+		return r.Instance == i.Settings.Instance
+	})
+}
+
+func (i *Instance) loadState() *wire.LoadState {
+	s := i.direct.Load()
+	s.Stamp = i.stamp()
+	return s
+}
+
+func (i *Instance) hearLoad(s *wire.LoadState) {
+	i.seen(s.Stamp)
+	i.direct.HearLoad(id.Instance(s.GetStamp().GetInstance()), s)
+}
+
 // controlServer lets other instances serve operators on behalf of this one.
 type controlServer Instance
 
