--- a/instance/loads/loads.go
+++ b/instance/loads/loads.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// Interval is the time between two exchanges, Fanout the number of
-	// instances in one.
+	// Interval is the time between two exchanges.
 	Interval = 50 * time.Millisecond
-	Fanout   = 3
 
+	// fanout is the number of instances in one exchange.
+	fanout  = 3
 	timeout = 300 * time.Millisecond
 	// maxRunning bounds the exchanges in progress, while some do not answer.
 	maxRunning = 16
@@ -59,7 +59,7 @@
 		case <-ended:
 			running--
 		case <-ticker.C:
-			for _, r := range e.draw(min(Fanout, maxRunning-running)) {
+			for _, r := range e.draw(min(fanout, maxRunning-running)) {
 				running++
 				go func() {
 					e.tell(ctx, r)
