direct: make a grant where it is decided

Found by the read of the change. The grant was made by the goroutine that waited, after the lock had been given up: a preemption in between was lost, and a manifest without the upstream left a grant without an address. Times given to the queue could fall by the wait for the lock.

--- a/instance/direct/direct_test.go
+++ b/instance/direct/direct_test.go
@@ -159,6 +159,19 @@
 	}
 }
 
+// A grant keeps the upstream as it was when it was given out, also when a
+// manifest without it comes right after, and can be preempted from then on.
+func TestGrantOutlivesItsManifest(t *testing.T) {
+	d := newDispatcher(t, 1)
+	low := reserve(t, d, need("slow"))
+	d.Configure(manifest.NewIndex(&manifest.Manifest{}))
+	if low.Upstream.Name != "e0" || low.Upstream.Capacity.Slots != 1 {
+		t.Errorf("granted %+v", low.Upstream)
+	}
+	d.Release(low, dispatch.Ending{Outcome: admission.Completed, Tokens: 1, FirstToken: time.Millisecond})
+	checkIdle(t, d)
+}
+
 // Only an engine that resumes gets the rest of an answer.
 func TestResumedWorkGoesWhereItCan(t *testing.T) {
 	for range 3 {
--- a/instance/direct/dispatcher.go
+++ b/instance/direct/dispatcher.go
@@ -39,7 +39,7 @@
 	queue     admission.Queue
 	upstreams upstreams
 	// waits holds each request that waits for its decision.
-	waits map[admission.Ticket]chan admission.Effect
+	waits map[admission.Ticket]*waiting
 	last  admission.Ticket
 	// grants holds those in use.
 	grants map[admission.Ticket]*dispatch.Grant
@@ -47,11 +47,25 @@
 
 var _ dispatch.Dispatcher = (*Dispatcher)(nil)
 
+// waiting is a request without a decision.
+type waiting struct {
+	need  admission.Request
+	began time.Time
+	// decided has room for one decision.
+	decided chan decision
+}
+
+// decision is a grant, or why there is none.
+type decision struct {
+	grant *dispatch.Grant
+	err   error
+}
+
 // Init makes all methods usable.
 func (d *Dispatcher) Init() {
 	d.upstreams.init(d.FailureDomain)
 	d.queue = admission.Queue{Upstreams: &d.upstreams, Headroom: headroom, Suspects: d.Suspects}
-	d.waits = make(map[admission.Ticket]chan admission.Effect)
+	d.waits = make(map[admission.Ticket]*waiting)
 	d.grants = make(map[admission.Ticket]*dispatch.Grant)
 }
 
@@ -63,9 +77,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
 			d.mu.Lock()
-			d.step(now, admission.Ticked{})
+			d.step(time.Now(), admission.Ticked{})
 			d.mu.Unlock()
 		}
 	}
@@ -81,40 +95,38 @@
 }
 
 // Reserve waits for a slot.
-func (d *Dispatcher) Reserve(ctx context.Context, r admission.Request) (*dispatch.Grant, error) {
-	began := time.Now()
-	decided := make(chan admission.Effect, 1)
-	d.mu.Lock()
-	d.last++
-	r.Ticket = d.last
-	d.waits[r.Ticket] = decided
-	d.step(began, admission.Arrived{Request: r})
-	d.mu.Unlock()
-
+func (d *Dispatcher) Reserve(ctx context.Context, need admission.Request) (*dispatch.Grant, error) {
+	w := d.arrive(need)
 	select {
-	case e := <-decided:
-		return d.decision(r, e, time.Since(began))
+	case got := <-w.decided:
+		return got.grant, got.err
 	case <-ctx.Done():
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.waits, r.Ticket)
-		d.end(time.Now(), r.Ticket, admission.Withdrawn{Ticket: r.Ticket}, choice.Ended{Ticket: choice.Ticket(r.Ticket)})
+		d.withdraw(w)
 		return nil, context.Cause(ctx)
 	}
 }
 
-func (d *Dispatcher) decision(r admission.Request, e admission.Effect, wait time.Duration) (*dispatch.Grant, error) {
-	switch e := e.(type) {
-	case admission.Granted:
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		g := dispatch.NewGrant(r, d.upstreams.known[e.Upstream], wait)
-		d.grants[r.Ticket] = g
-		return g, nil
-	case admission.Refused:
-		return nil, &dispatch.Refusal{Reason: e.Reason, RetryAfter: e.RetryAfter}
-	}
-	return nil, &dispatch.Refusal{Reason: admission.NoUpstream}
+func (d *Dispatcher) arrive(need admission.Request) *waiting {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.last++
+	need.Ticket = d.last
+	w := &waiting{need: need, began: now, decided: make(chan decision, 1)}
+	d.waits[need.Ticket] = w
+	d.step(now, admission.Arrived{Request: need})
+	return w
+}
+
+// withdraw ends a request whose caller has gone, also one that was granted in the
+// meantime.
+func (d *Dispatcher) withdraw(w *waiting) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := w.need.Ticket
+	delete(d.waits, t)
+	delete(d.grants, t)
+	d.end(time.Now(), t, admission.Withdrawn{Ticket: t}, choice.Ended{Ticket: choice.Ticket(t)})
 }
 
 // Started notes the first token of an answer.
@@ -174,9 +186,9 @@
 	for _, e := range d.queue.Step(now, ev) {
 		switch e := e.(type) {
 		case admission.Granted:
-			d.decide(e.Ticket, e)
+			d.grant(now, e)
 		case admission.Refused:
-			d.decide(e.Ticket, e)
+			d.decide(e.Ticket, decision{err: &dispatch.Refusal{Reason: e.Reason, RetryAfter: e.RetryAfter}})
 		case admission.Preempted:
 			if g, ok := d.grants[e.Ticket]; ok {
 				g.Preempt()
@@ -188,13 +200,26 @@
 	d.upstreams.logBeliefs()
 }
 
+// grant hands out an upstream as the manifest of the moment describes it; d.mu is
+// held.
+func (d *Dispatcher) grant(now time.Time, e admission.Granted) {
+	w, ok := d.waits[e.Ticket]
+	if !ok {
+		klog.ErrorS(nil, "a request that does not wait was granted", "ticket", e.Ticket, "upstream", e.Upstream)
+		return
+	}
+	g := dispatch.NewGrant(w.need, d.upstreams.known[e.Upstream], now.Sub(w.began))
+	d.grants[e.Ticket] = g
+	d.decide(e.Ticket, decision{grant: g})
+}
+
 // decide hands a decision to whoever waits for it; d.mu is held.
-func (d *Dispatcher) decide(t admission.Ticket, e admission.Effect) {
-	wait, ok := d.waits[t]
+func (d *Dispatcher) decide(t admission.Ticket, got decision) {
+	w, ok := d.waits[t]
 	if !ok {
 		klog.ErrorS(nil, "a request that does not wait was decided", "ticket", t)
 		return
 	}
 	delete(d.waits, t)
-	wait <- e
+	w.decided <- got
 }
