admission: refuse the newcomer where only retried work waits

Found by the read of the change. A class full of requests that were granted before has nothing to give up for another one; the search for it came back with nothing, and the instance ended by a nil pointer. The test panics before.

--- a/coordination/admission/admit.go
+++ b/coordination/admission/admit.go
@@ -99,11 +99,13 @@
 }
 
 // surplus returns which waiter of a full line to refuse: one that is late, else
-// one of the workspace with the most waiters, else w.
+// one of the workspace with the most waiters, else w. Work that was granted before
+// is not refused for other.
 func (q *Queue) surplus(l *line, w *waiter) *waiter {
 	f, _ := l.crowded.first()
-	if len(l.lanes[late].items) > 0 || f.waiting > w.flow.waiting {
-		return l.leastUrgent()
+	other := l.leastUrgent()
+	if other != nil && (len(l.lanes[late].items) > 0 || f.waiting > w.flow.waiting) {
+		return other
 	}
 	return w
 }
--- a/coordination/admission/promises_test.go
+++ b/coordination/admission/promises_test.go
@@ -268,6 +268,24 @@
 	}
 }
 
+// Pattern: retried requests fill their class, since an engine broke. Another one
+// that comes back is refused; none of those that wait is given up for it.
+func TestReturnedWorkIsNotRefusedForOther(t *testing.T) {
+	c := class("quick", 1, 0)
+	c.QueueBound = 2
+	e := newEntry(newEngines(1), c)
+	e.arrive(start, request(0, "quick", "a"))
+	var refused []admission.Refused
+	for n, w := range []id.Workspace{"a", "a", "b"} {
+		r := request(n+1, "quick", w)
+		r.Attempt = 1
+		refused = append(refused, pick[admission.Refused](e.arrive(start, r))...)
+	}
+	if len(refused) != 1 || refused[0].Ticket != 3 || refused[0].Reason != admission.QueueFull {
+		t.Errorf("refused %+v, want the third for the bound", refused)
+	}
+}
+
 // A manifest that drops a class ends its waiters; one that excludes the last
 // upstream is found at the next look.
 func TestWaitersEndWithTheirClass(t *testing.T) {
