--- a/instance/entry/generate_test.go
+++ b/instance/entry/generate_test.go
@@ -292,6 +292,16 @@
 	}
 }
 
+// TestFirstTokensAreTold checks that the dispatcher hears of each attempt whose
+// first token came, once.
+func TestFirstTokensAreTold(t *testing.T) {
+	r := newRig(t, true, fakeEngine{until: 0}, fakeEngine{until: 3}, fakeEngine{until: answerTokens})
+	r.generate(t.Context(), &sink{})
+	if r.dispatcher.started != 2 {
+		t.Errorf("told of %d first tokens, want those of two of three attempts", r.dispatcher.started)
+	}
+}
+
 // TestCrashNamesTheUpstream checks that only a broken connection counts as a
 // crash.
 func TestCrashNamesTheUpstream(t *testing.T) {
