entry: let a test's engine wait where it was preempted

The engine went on while the end of the attempt was on its way, and could have sent the whole answer by then.

--- a/instance/entry/generate_test.go
+++ b/instance/entry/generate_test.go
@@ -36,8 +36,9 @@
 	noise bool
 	// status is answered instead of a stream, unless 0.
 	status int
-	// reached is called before each token.
-	reached func(token int)
+	// held is asked after each token; true holds the next one back until the
+	// entry has gone.
+	held func() bool
 }
 
 func (f fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -61,10 +62,8 @@
 		if f.noise {
 			send(w, i, request, token(i))
 		}
-		if f.reached != nil {
-			f.reached(i)
-		}
-		if r.Context().Err() != nil {
+		if f.held != nil && f.held() {
+			<-r.Context().Done()
 			return
 		}
 	}
@@ -273,12 +272,15 @@
 // was, and does not count as an attempt.
 func TestPreemptedAnswerIsResumed(t *testing.T) {
 	var r *rig
-	left := 6
-	r = newRig(t, true, fakeEngine{until: answerTokens, reached: func(int) {
-		if left > 0 {
-			left--
-			r.dispatcher.preemptLast()
+	const preemptions = 6
+	left := preemptions
+	r = newRig(t, true, fakeEngine{until: answerTokens, held: func() bool {
+		if left == 0 {
+			return false
 		}
+		left--
+		r.dispatcher.preemptLast()
+		return true
 	}})
 	s := &sink{}
 	if got := outcome(r.generate(t.Context(), s)); got != "completed" {
@@ -287,8 +289,9 @@
 	if s.text.String() != wholeText() {
 		t.Errorf("answer %q, want %q", s.text.String(), wholeText())
 	}
-	if !slices.Contains(r.dispatcher.endings, admission.Yielded) {
-		t.Errorf("endings %v, none of them preempted", r.dispatcher.endings)
+	want := append(slices.Repeat([]admission.Outcome{admission.Yielded}, preemptions), admission.Completed)
+	if !slices.Equal(r.dispatcher.endings, want) {
+		t.Errorf("endings %v, want %v", r.dispatcher.endings, want)
 	}
 }
 
