--- a/instance/direct/load.go
+++ b/instance/direct/load.go
@@ -17,12 +17,8 @@
 	now := time.Now()
 	s := &peer.LoadState{}
 	for _, c := range d.upstreams.choosers {
-		for upstream, l := range c.Loads(now) {
-			s.Loads = append(s.Loads, exchange.LoadFrom(upstream, l))
-		}
-		for upstream, left := range c.Ejected(now) {
-			s.Failing = append(s.Failing, &exchange.Failing{Upstream: string(upstream), ForUs: left.Microseconds()})
-		}
+		loads, failing := exchange.Told(c, now)
+		s.Loads, s.Failing = append(s.Loads, loads...), append(s.Failing, failing...)
 	}
 	s.Waiting = waitingFrom(d.queue.Waiting(), d.queue.Pressed(now), d.queue.Running())
 	return s
@@ -30,18 +26,12 @@
 
 // HearLoad takes in what another instance has in progress.
 func (d *Dispatcher) HearLoad(from id.Instance, s *peer.LoadState) {
-	loads := make(map[id.Upstream]choice.Load, len(s.Loads))
-	for _, l := range s.Loads {
-		loads[id.Upstream(l.Upstream)] = l.Load()
-	}
+	loads := exchange.LoadsOf(s.Loads)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	for _, c := range d.upstreams.choosers {
-		c.Step(now, choice.Heard{Instance: from, Loads: loads})
-		for _, f := range s.Failing {
-			c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
-		}
+		exchange.Hear(c, now, choice.Heard{Instance: from, Loads: loads}, s.Failing)
 	}
 	d.step(now, toldOf(from, s.Waiting))
 	d.step(now, admission.Ticked{})
--- a/protocol/exchange/load.go
+++ b/protocol/exchange/load.go
@@ -4,11 +4,42 @@
 
 import (
 	"math"
+	"time"
 
 	"samphirehead/coordination/choice"
 	"samphirehead/state/id"
 )
 
+// Told makes the messages of what a chooser has in progress and keeps away from.
+func Told(c *choice.Chooser, now time.Time) ([]*Load, []*Failing) {
+	var loads []*Load
+	for upstream, l := range c.Loads(now) {
+		loads = append(loads, LoadFrom(upstream, l))
+	}
+	var failing []*Failing
+	for upstream, left := range c.Ejected(now) {
+		failing = append(failing, &Failing{Upstream: string(upstream), ForUs: left.Microseconds()})
+	}
+	return loads, failing
+}
+
+// LoadsOf reads the messages of loads, by upstream.
+func LoadsOf(all []*Load) map[id.Upstream]choice.Load {
+	loads := make(map[id.Upstream]choice.Load, len(all))
+	for _, l := range all {
+		loads[id.Upstream(l.Upstream)] = l.Load()
+	}
+	return loads
+}
+
+// Hear passes what another instance told to a chooser.
+func Hear(c *choice.Chooser, now time.Time, heard choice.Heard, failing []*Failing) {
+	c.Step(now, heard)
+	for _, f := range failing {
+		c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
+	}
+}
+
 // LoadFrom makes the message of a load.
 func LoadFrom(upstream id.Upstream, l choice.Load) *Load {
 	out := &Load{Upstream: string(upstream), Running: uint32(l.Running), Sensitive: uint32(l.Sensitive), Memory: uint32(l.Memory),
--- a/router/peers.go
+++ b/router/peers.go
@@ -174,12 +174,8 @@
 	}
 	for service, c := range r.pools.choosers {
 		s.Demand[string(service)] = float32(c.Demand(now))
-		for upstream, l := range c.Loads(now) {
-			s.Loads = append(s.Loads, exchange.LoadFrom(upstream, l))
-		}
-		for upstream, left := range c.Ejected(now) {
-			s.Failing = append(s.Failing, &exchange.Failing{Upstream: string(upstream), ForUs: left.Microseconds()})
-		}
+		loads, failing := exchange.Told(c, now)
+		s.Loads, s.Failing = append(s.Loads, loads...), append(s.Failing, failing...)
 	}
 	s.Crashes = r.crashReports(now)
 	s.Refused = r.returns.tell(now)
@@ -219,19 +215,13 @@
 
 // hearLoads is called with r.mu held.
 func (r *Router) hearLoads(now time.Time, s *exchange.State) {
-	loads := make(map[id.Upstream]choice.Load, len(s.Loads))
-	for _, l := range s.Loads {
-		loads[id.Upstream(l.Upstream)] = l.Load()
-	}
+	loads := exchange.LoadsOf(s.Loads)
 	for service, c := range r.pools.choosers {
-		c.Step(now, choice.Heard{
+		exchange.Hear(c, now, choice.Heard{
 			Instance: id.Instance(s.Self.Instance),
 			Loads:    loads,
 			Demand:   float64(s.Demand[string(service)]),
-		})
-		for _, f := range s.Failing {
-			c.Step(now, choice.Warned{Upstream: id.Upstream(f.Upstream), For: time.Duration(f.ForUs) * time.Microsecond})
-		}
+		}, s.Failing)
 		logBeliefs(c)
 	}
 }
