direct: keep a service named engines apart from the model engines

The group of all engines was named by a string that a plain service may have too; such a service's calls were kept together like prompts: four of four at one of two workers, now two and two. The test fails before. The fastest reading rate of a pool and the tightest target are worked out once a manifest, and not at each look at the queue and for each group.

--- a/instance/direct/direct_test.go
+++ b/instance/direct/direct_test.go
@@ -207,6 +207,34 @@
 	}
 }
 
+// A plain service may have any name: its calls are spread over its workers, and
+// not kept together as prompts are.
+func TestServiceMayHaveAnyName(t *testing.T) {
+	for _, name := range []id.Service{"desk", "engines"} {
+		m := &manifest.Manifest{
+			Services: []manifest.Service{{Name: name}},
+			Classes:  []manifest.Class{{Name: "quick", Tier: 1, FirstToken: time.Minute, TotalDeadline: time.Hour, QueueBound: 100}},
+		}
+		for _, worker := range []id.Upstream{"w0", "w1"} {
+			m.Upstreams = append(m.Upstreams, manifest.Upstream{
+				Name: worker, Kind: manifest.KindService, Service: name, Capacity: manifest.Capacity{Slots: 8},
+			})
+		}
+		d := &direct.Dispatcher{Suspects: &suspect.Tracker{}, Spread: func([]suspect.Record) {}}
+		d.Init()
+		d.Configure(manifest.NewIndex(m))
+		count := map[id.Upstream]int{}
+		for range 4 {
+			r := need("quick")
+			r.Pool, r.PromptTokens = id.ServicePool(name), 0
+			count[reserve(t, d, r).Upstream.Name]++
+		}
+		if count["w0"] != 2 || count["w1"] != 2 {
+			t.Errorf("%s: four calls went to %v", name, count)
+		}
+	}
+}
+
 func TestUnknownPoolIsRefused(t *testing.T) {
 	d := newDispatcher(t, 1)
 	r := need("quick")
--- a/instance/direct/upstreams.go
+++ b/instance/direct/upstreams.go
@@ -19,23 +19,43 @@
 // maxBlocks bounds the prompt blocks that are remembered.
 const maxBlocks = 1 << 16
 
-// engines is the group of all model engines. Those with several models serve
-// several pools, so that one chooser has to count what they run.
-const engines = id.Service("engines")
+// group is the upstreams of one chooser: the workers of a plain service, or all
+// model engines. Engines with several models serve several pools, so that one
+// chooser has to count what they run.
+type group struct {
+	engines bool
+	// service is empty for the engines.
+	service id.Service
+}
+
+func groupOf(m manifest.Upstream) group {
+	if m.Kind == manifest.KindService {
+		return group{service: m.Service}
+	}
+	return group{engines: true}
+}
+
+func (g group) config() routing.Service {
+	if g.engines {
+		return routing.Service{Name: "engines", Engine: &routing.Engine{}}
+	}
+	return routing.Service{Name: g.service}
+}
 
 // upstreams chooses upstreams. It is not safe for concurrent use.
 type upstreams struct {
-	domain id.FailureDomain
-	// choosers has one for all engines and one for each plain service.
-	choosers map[id.Service]*choice.Chooser
+	domain   id.FailureDomain
+	choosers map[group]*choice.Chooser
 	// known has all upstreams of the manifest, pools their names.
 	known   map[id.Upstream]manifest.Upstream
 	pools   map[id.Pool]map[id.Upstream]bool
-	group   map[id.Pool]id.Service
+	groups  map[id.Pool]group
 	near    map[id.Pool][]id.Pool
 	classes map[id.Class]manifest.Class
+	// fastest is the highest reading rate in each pool, in tokens a second.
+	fastest map[id.Pool]float64
 	// running has the group of each run.
-	running map[admission.Ticket]id.Service
+	running map[admission.Ticket]group
 	// blocks holds the prompt blocks that were seen of late.
 	blocks *simplelru.LRU[uint64, struct{}]
 }
@@ -44,8 +64,8 @@
 
 func (u *upstreams) init(domain id.FailureDomain) {
 	u.domain = domain
-	u.choosers = make(map[id.Service]*choice.Chooser)
-	u.running = make(map[admission.Ticket]id.Service)
+	u.choosers = make(map[group]*choice.Chooser)
+	u.running = make(map[admission.Ticket]group)
 	// NewLRU fails only for a size below 1.
 	u.blocks, _ = simplelru.NewLRU[uint64, struct{}](maxBlocks, nil)
 }
@@ -54,52 +74,45 @@
 func (u *upstreams) configure(now time.Time, x *manifest.Index) {
 	u.known = make(map[id.Upstream]manifest.Upstream)
 	u.pools = make(map[id.Pool]map[id.Upstream]bool)
-	u.group = make(map[id.Pool]id.Service)
+	u.groups = make(map[id.Pool]group)
+	u.fastest = make(map[id.Pool]float64)
 	u.classes = make(map[id.Class]manifest.Class)
 	for _, c := range x.Manifest.Classes {
 		u.classes[c.Name] = c
 	}
-	entries := make(map[id.Service][]registry.Entry)
-	for group := range u.choosers {
-		entries[group] = nil
+	entries := make(map[group][]registry.Entry)
+	for g := range u.choosers {
+		entries[g] = nil
 	}
 	for _, m := range x.Manifest.Upstreams {
-		group := engines
-		if m.Kind == manifest.KindService {
-			group = m.Service
-		}
+		g := groupOf(m)
 		u.known[m.Name] = m
 		for _, p := range m.Pools() {
-			u.group[p] = group
+			u.groups[p] = g
+			u.fastest[p] = max(u.fastest[p], m.Capacity.PrefillTokensPerSecond)
 			if u.pools[p] == nil {
 				u.pools[p] = make(map[id.Upstream]bool)
 			}
 			u.pools[p][m.Name] = true
 		}
-		entries[group] = append(entries[group], entryOf(m))
+		entries[g] = append(entries[g], entryOf(m))
 	}
 	u.near = nearOf(u.pools)
-	for group, all := range entries {
-		u.chooser(group).Step(now, choice.Configured{Service: u.service(group), Upstreams: all, Tightest: u.tightest()})
+	tightest := u.tightest()
+	for g, all := range entries {
+		u.chooser(g).Step(now, choice.Configured{Service: g.config(), Upstreams: all, Tightest: tightest})
 	}
 }
 
-func (u *upstreams) chooser(group id.Service) *choice.Chooser {
-	c := u.choosers[group]
+func (u *upstreams) chooser(g group) *choice.Chooser {
+	c := u.choosers[g]
 	if c == nil {
 		c = &choice.Chooser{FailureDomain: u.domain, Bounded: true}
-		u.choosers[group] = c
+		u.choosers[g] = c
 	}
 	return c
 }
 
-func (u *upstreams) service(group id.Service) routing.Service {
-	if group == engines {
-		return routing.Service{Name: group, Engine: &routing.Engine{}}
-	}
-	return routing.Service{Name: group}
-}
-
 // tightest is the shortest target of the first token of a streaming class.
 func (u *upstreams) tightest() time.Duration {
 	least := time.Duration(0)
@@ -120,7 +133,7 @@
 
 // Place chooses an upstream for a request.
 func (u *upstreams) Place(now time.Time, r admission.Request, remaining id.Tokens, avoid func(id.Upstream) bool) (id.Upstream, admission.Placement) {
-	group, known := u.group[r.Pool]
+	g, known := u.groups[r.Pool]
 	if !known {
 		return "", admission.Barred
 	}
@@ -141,13 +154,13 @@
 			return !avoid(name)
 		},
 	}
-	if group == engines {
+	if g.engines {
 		wanted.Parts = u.parts(r)
 	}
-	chosen, refusal := u.choosers[group].Choose(now, wanted)
+	chosen, refusal := u.choosers[g].Choose(now, wanted)
 	switch {
 	case refusal == choice.Chosen:
-		u.running[r.Ticket] = group
+		u.running[r.Ticket] = g
 		u.remember(r)
 		return chosen.Upstream, admission.Placed
 	case refusal == choice.NoUpstream && barred:
@@ -180,7 +193,7 @@
 
 // Room returns the free slots and all slots of a pool.
 func (u *upstreams) Room(now time.Time, p id.Pool) (free, slots int) {
-	c := u.choosers[u.group[p]]
+	c := u.choosers[u.groups[p]]
 	if c == nil {
 		return 0, 0
 	}
@@ -220,10 +233,7 @@
 
 // PrefillTime is how long the fastest upstream of a pool takes to read a prompt.
 func (u *upstreams) PrefillTime(p id.Pool, prompt id.Tokens) time.Duration {
-	fastest := 0.0
-	for name := range u.pools[p] {
-		fastest = max(fastest, u.known[name].Capacity.PrefillTokensPerSecond)
-	}
+	fastest := u.fastest[p]
 	if fastest == 0 {
 		return 0
 	}
@@ -231,15 +241,15 @@
 }
 
 func (u *upstreams) started(now time.Time, t admission.Ticket) {
-	if group, ok := u.running[t]; ok {
-		u.choosers[group].Step(now, choice.Started{Ticket: choice.Ticket(t)})
+	if g, ok := u.running[t]; ok {
+		u.choosers[g].Step(now, choice.Started{Ticket: choice.Ticket(t)})
 	}
 }
 
 func (u *upstreams) ended(now time.Time, t admission.Ticket, ev choice.Ended) {
-	if group, ok := u.running[t]; ok {
+	if g, ok := u.running[t]; ok {
 		delete(u.running, t)
-		u.choosers[group].Step(now, ev)
+		u.choosers[g].Step(now, ev)
 	}
 }
 
