forward: never take bytes from before a request for its answer, and bound endless ones

Cause: net/http puts a connection back for reuse before it has seen the bytes behind an answer, and reads them as the answer of the next request there. Whole answers could buffer 32 MiB each and events 4 MiB, and a head could drip until the deadline. Change: a connection writes a request only once its reader has used up all earlier bytes; an answer that is found before that closes it, and the request, of which nothing was sent, goes over a new one. A reply with another id is never believed, also not one that says that it was not run; its connection is closed. Discarding an answer takes 100 ms at most.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -160,6 +160,7 @@
 		return a, result, err
 	}
 	a.response = response
+	j.responses = append(j.responses, response)
 	result, err := j.readAnswer(a)
 	if result == answered {
 		j.possibleRuns++
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -45,6 +45,10 @@
 	InFlight        int64                      `json:"requests_in_flight"`
 	Draining        bool                       `json:"leaving"`
 	LogLinesDropped int64                      `json:"log_lines_dropped"`
+	// AnswersBuffered is how many bytes of upstreams' answers are buffered, and
+	// AnswersBufferedPeak the most that were.
+	AnswersBuffered     int64 `json:"answers_buffered_bytes"`
+	AnswersBufferedPeak int64 `json:"answers_buffered_peak_bytes"`
 }
 
 // LogDroppedLines logs that the log writer dropped lines of a class. The class
@@ -76,6 +80,9 @@
 		Quarantines:  r.quarantine.QuarantinesStarted(),
 		InFlight:     r.inFlight.Load(),
 		Draining:     r.drain.started(),
+
+		AnswersBuffered:     r.forward.Buffered(),
+		AnswersBufferedPeak: r.forward.PeakBuffered(),
 	}
 	for service, c := range r.pools.choosers {
 		var b retryBudget
--- a/router/serve.go
+++ b/router/serve.go
@@ -17,6 +17,7 @@
 	"samphirehead/state/id"
 	"samphirehead/state/metrics"
 	"samphirehead/state/routing"
+	"samphirehead/transport/forward"
 )
 
 const (
@@ -72,6 +73,8 @@
 	digest    id.Fingerprint
 	// tried holds the upstreams that the request was sent to, in order.
 	tried []id.Upstream
+	// responses holds the answers that are to be released at the end.
+	responses []*forward.Response
 	// possibleRuns counts the upstreams that may have run the request.
 	possibleRuns int
 	// refusal is why the last choice found no upstream, and expectedWait how
@@ -101,9 +104,17 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), j.deadline)
 	defer cancel()
+	defer j.release()
 	j.run(ctx)
 }
 
+// release releases the memory of the upstreams' answers.
+func (j *job) release() {
+	for _, response := range j.responses {
+		response.Release()
+	}
+}
+
 // admit routes and authenticates a request and reads its body. It returns a
 // reason if the request is refused.
 func (r *Router) admit(w http.ResponseWriter, request *http.Request) (*job, reason) {
--- a/router/stream.go
+++ b/router/stream.go
@@ -11,7 +11,6 @@
 
 	"samphirehead/coordination/balancer"
 	"samphirehead/state/metrics"
-	"samphirehead/transport/forward"
 )
 
 // stream forwards events as they arrive. If the upstream fails before the end of
@@ -76,7 +75,8 @@
 // at the end of a complete stream.
 func (p *progress) forwardEvents(a *attempt) error {
 	defer func() { _ = a.response.Body.Close() }()
-	events := forward.EventReader{Body: a.response.Body}
+	events := a.response.Events()
+	defer events.Release()
 	for {
 		data, eventID, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- /dev/null
+++ b/transport/bound/memory.go
@@ -0,0 +1,111 @@
+package bound
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// minBufferBytes is the capacity of a buffer after its first read.
+	minBufferBytes = 4 << 10
+	// freeBytes of each buffer need no reservation, so that short responses are
+	// read also while long ones use up the memory.
+	freeBytes = 16 << 10
+	// maxShare is the part of the memory that one buffer may use.
+	maxShare = 2
+)
+
+// Memory bounds the bytes of responses that are buffered at the same time. A nil
+// Memory sets no bound. Limit must be set before the first use.
+type Memory struct {
+	Limit int64
+
+	used atomic.Int64
+	// peak is the most that was used.
+	peak atomic.Int64
+}
+
+// reserve reserves n bytes and reports whether they were available.
+func (m *Memory) reserve(n int64) bool {
+	if m == nil {
+		return true
+	}
+	used := m.used.Add(n)
+	if used > m.Limit {
+		m.used.Add(-n)
+		return false
+	}
+	for peak := m.peak.Load(); used > peak && !m.peak.CompareAndSwap(peak, used); peak = m.peak.Load() {
+	}
+	return true
+}
+
+func (m *Memory) release(n int64) {
+	if m != nil {
+		m.used.Add(-n)
+	}
+}
+
+// Used returns the bytes that are reserved now.
+func (m *Memory) Used() int64 { return m.used.Load() }
+
+// Peak returns the most bytes that were reserved at any time.
+func (m *Memory) Peak() int64 { return m.peak.Load() }
+
+// Buffer holds bytes of one response. A capacity beyond freeBytes is reserved in
+// Memory. Memory and Limit must be set before the first read.
+type Buffer struct {
+	Memory *Memory
+	// Limit is the largest length. A buffer also has no more than a part of
+	// the memory.
+	Limit int
+	Data  []byte
+
+	reserved int64
+}
+
+// Fill appends the bytes of one Read. It returns ErrTooLong if the buffer is
+// at its limit, and ErrMemory if the memory is used up.
+func (b *Buffer) Fill(r io.Reader) (int, error) {
+	if len(b.Data) == cap(b.Data) {
+		if err := b.grow(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := r.Read(b.Data[len(b.Data):cap(b.Data)])
+	b.Data = b.Data[:len(b.Data)+n]
+	return n, err
+}
+
+func (b *Buffer) grow() error {
+	limit := b.limit()
+	if len(b.Data) > limit {
+		return ErrTooLong
+	}
+	// One byte more than allowed shows that the response goes on.
+	size := min(max(2*cap(b.Data), minBufferBytes), limit+1)
+	if size > freeBytes {
+		added := int64(size) - b.reserved
+		if !b.Memory.reserve(added) {
+			return ErrMemory
+		}
+		b.reserved += added
+	}
+	grown := make([]byte, len(b.Data), size)
+	copy(grown, b.Data)
+	b.Data = grown
+	return nil
+}
+
+func (b *Buffer) limit() int {
+	if b.Memory == nil {
+		return b.Limit
+	}
+	return int(min(int64(b.Limit), b.Memory.Limit/maxShare))
+}
+
+// Release drops the bytes and their reservation.
+func (b *Buffer) Release() {
+	b.Memory.release(b.reserved)
+	b.Data, b.reserved = nil, 0
+}
--- /dev/null
+++ b/transport/forward/conn.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errUnsolicited is the error of a connection on which an upstream sent bytes that
+// no request asked for.
+var errUnsolicited = errors.New("unsolicited bytes on the connection")
+
+// conn is a connection to an upstream that does not send a request as long as
+// bytes from before the request may be left to read. net/http may reuse a
+// connection before it has seen the bytes that follow an answer, and would take
+// them for the next answer.
+type conn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	// reading is set while the reader waits for bytes, having used up all
+	// earlier ones.
+	reading bool
+	// pending is set from the assignment of a request to its first byte.
+	pending bool
+	// unsolicited is set once bytes have arrived while a request was pending.
+	unsolicited bool
+	closed      bool
+}
+
+func newConn(c net.Conn) *conn {
+	guarded := &conn{Conn: c}
+	guarded.changed = sync.NewCond(&guarded.mu)
+	return guarded
+}
+
+// assign announces that a request will be written next.
+func (c *conn) assign() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = true
+}
+
+// answerBegun reports that the reader has found the first byte of an answer. If no
+// byte of the request has been written, the answer belongs to no request.
+func (c *conn) answerBegun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending {
+		c.unsolicited = true
+		c.changed.Broadcast()
+	}
+}
+
+// hasUnsolicited reports whether bytes have arrived that no request asked for.
+func (c *conn) hasUnsolicited() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unsolicited
+}
+
+// abandon reports whether no byte of the assigned request has been written. If so,
+// none will be.
+func (c *conn) abandon() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending {
+		c.closed = true
+		c.changed.Broadcast()
+	}
+	return c.pending
+}
+
+// Read reads from the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	c.setReading(true)
+	defer c.setReading(false)
+	return c.Conn.Read(p)
+}
+
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+	c.changed.Broadcast()
+}
+
+// Write writes to the connection. The first write of a request waits until the
+// reader has used up all bytes received earlier.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.awaitReader(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) awaitReader() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.pending && !c.reading && !c.unsolicited && !c.closed {
+		c.changed.Wait()
+	}
+	switch {
+	case c.unsolicited:
+		return errUnsolicited
+	case c.closed:
+		return net.ErrClosed
+	}
+	c.pending = false
+	return nil
+}
+
+// Close closes the connection and ends a waiting Write.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/transport/forward/events.go
+++ b/transport/forward/events.go
@@ -5,78 +5,119 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
-)
 
-const (
-	readChunkBytes = 16 << 10
-	// maxEventBytes bounds the bytes that are buffered for one event.
-	maxEventBytes = 4 << 20
+	"samphirehead/transport/bound"
 )
 
+// ErrNotEvents means that a stream has bytes that are no server-sent events.
+var ErrNotEvents = errors.New("stream has bytes that are no events")
+
+// longestSeparator is the length in bytes of the longer separator of events.
+const longestSeparator = len("\r\n\r\n")
+
+// eventFields are the names of the fields of which an event has one at least. An
+// empty name marks a comment.
+var eventFields = []string{"id", "data", "event", "retry", ""}
+
 // EventReader reads a stream of server-sent events, one or more whole events at
-// a time.
+// a time. Release must be called after the last call of Next.
 type EventReader struct {
 	Body io.Reader
 
-	pending []byte
-	chunk   []byte
+	pending bound.Buffer
+	// scanned is the length of the start of pending without a separator.
+	scanned int
 	readErr error
 }
 
 // Next returns the bytes of one or more whole events, and the id of the last of
-// them that has an id. It returns io.EOF after the last event and ErrTooLong for
-// an event that is too long. If the stream ends without a final blank line, the
-// remaining bytes are returned as its last event. If the stream breaks, they are
-// dropped.
+// them that has an id. It returns io.EOF after the last event, bound.ErrTooLong for
+// an event that is too long, and ErrNotEvents for bytes that are no event. If the
+// stream ends without a final blank line, the remaining bytes are returned as its
+// last event. If the stream breaks, they are dropped.
 func (e *EventReader) Next() (data []byte, lastID string, err error) {
-	if e.chunk == nil {
-		e.chunk = make([]byte, readChunkBytes)
-	}
+	e.pending.Limit = maxEventBytes
 	for {
-		if length := completeEventsLength(e.pending); length > 0 {
-			data = append([]byte(nil), e.pending[:length]...)
-			e.pending = append(e.pending[:0], e.pending[length:]...)
-			return data, lastEventID(data), nil
+		if length := e.completeEvents(); length > 0 {
+			return e.take(length)
 		}
 		if e.readErr != nil {
 			return e.flush()
 		}
-		if len(e.pending) > maxEventBytes {
-			return nil, "", ErrTooLong
+		n, err := e.pending.Fill(e.Body)
+		if n == 0 && (errors.Is(err, bound.ErrTooLong) || errors.Is(err, bound.ErrMemory)) {
+			return nil, "", err
 		}
-		n, err := e.Body.Read(e.chunk)
-		e.pending = append(e.pending, e.chunk[:n]...)
 		e.readErr = err
 	}
 }
 
+// Release drops the buffered bytes.
+func (e *EventReader) Release() { e.pending.Release() }
+
 func (e *EventReader) flush() (data []byte, lastID string, err error) {
-	if !errors.Is(e.readErr, io.EOF) || len(e.pending) == 0 {
+	if !errors.Is(e.readErr, io.EOF) || len(e.pending.Data) == 0 {
 		return nil, "", e.readErr
 	}
-	data, e.pending = e.pending, nil
-	return data, lastEventID(data), nil
+	return e.take(len(e.pending.Data))
 }
 
-// completeEventsLength returns the length of the complete events at the start of
-// data.
-func completeEventsLength(data []byte) int {
+// take removes the first bytes of pending, which are whole events.
+func (e *EventReader) take(length int) (data []byte, lastID string, err error) {
+	data = append([]byte(nil), e.pending.Data[:length]...)
+	e.pending.Data = append(e.pending.Data[:0], e.pending.Data[length:]...)
+	e.scanned = len(e.pending.Data)
+	lastID, ok := parseEvents(data)
+	if !ok {
+		return nil, "", ErrNotEvents
+	}
+	return data, lastID, nil
+}
+
+// completeEvents returns the length of the complete events at the start of
+// pending.
+func (e *EventReader) completeEvents() int {
+	from := max(e.scanned-longestSeparator+1, 0)
+	e.scanned = len(e.pending.Data)
 	length := 0
-	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(data, separator); i >= 0 {
-			length = max(length, i+len(separator))
+	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.LastIndex(e.pending.Data[from:], []byte(separator)); i >= 0 {
+			length = max(length, from+i+len(separator))
 		}
 	}
 	return length
 }
 
-// lastEventID returns the id of the last event in data that has one.
-func lastEventID(data []byte) string {
-	id := ""
+// parseEvents returns the id of the last event in data that has one, and reports
+// whether each event has a field that events have.
+func parseEvents(data []byte) (lastID string, ok bool) {
+	fields, known := 0, 0
 	for line := range bytes.Lines(data) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if fields > 0 && known == 0 {
+				return "", false
+			}
+			fields, known = 0, 0
+			continue
+		}
+		fields++
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if isEventField(name) {
+			known++
+		}
+		if string(name) == "id" {
+			lastID = string(bytes.TrimSpace(value))
+		}
+	}
+	return lastID, fields == 0 || known > 0
+}
+
+func isEventField(name []byte) bool {
+	for _, field := range eventFields {
+		if string(name) == field {
+			return true
 		}
 	}
-	return id
+	return false
 }
--- a/transport/forward/events_test.go
+++ b/transport/forward/events_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/iotest"
 
+	"samphirehead/transport/bound"
 	"samphirehead/transport/forward"
 )
 
@@ -53,12 +54,48 @@
 	}
 }
 
+// Bytes with separators of events but no fields are rejected. What comes before
+// them is returned.
+func TestBytesThatAreNoEvents(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for name, stream := range map[string]string{
+		"text":            "not found\n\n",
+		"answer":          "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n",
+		"at the end":      "rest",
+		"after an event":  event + "text\n\n",
+		"before an event": "text\n\n" + event,
+	} {
+		data, _, err := collect(iotest.OneByteReader(strings.NewReader(stream)))
+		if !errors.Is(err, forward.ErrNotEvents) || !strings.HasPrefix(stream, data) {
+			t.Errorf("%s: %q, %v", name, data, err)
+		}
+	}
+	for _, stream := range []string{": comment\n\n", "weight-versions: 3\nid: 1\ndata: a\n\n", "retry: 1\n\n", "data\n\n"} {
+		if data, _, err := collect(strings.NewReader(stream)); data != stream || !errors.Is(err, io.EOF) {
+			t.Errorf("%q became %q, %v", stream, data, err)
+		}
+	}
+}
+
+// An event near the size limit that arrives in small parts is scanned once.
+func TestLongEventInSmallParts(t *testing.T) {
+	event := "data: " + strings.Repeat("x", 200<<10) + "\n\n"
+	if data, _, err := collect(iotest.OneByteReader(strings.NewReader(event))); data != event || !errors.Is(err, io.EOF) {
+		t.Errorf("%d bytes, %v", len(data), err)
+	}
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
 	f.Add("\r\n\r\n\n\n")
 	f.Fuzz(func(t *testing.T, stream string) {
 		data, _, err := collect(iotest.HalfReader(strings.NewReader(stream)))
-		if data != stream || !errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, forward.ErrNotEvents):
+			if !strings.HasPrefix(stream, data) {
+				t.Errorf("%q became %q", stream, data)
+			}
+		case data != stream || !errors.Is(err, io.EOF):
 			t.Errorf("%q became %q, %v", stream, data, err)
 		}
 	})
@@ -76,7 +113,7 @@
 
 func TestOverlongEventIsRejected(t *testing.T) {
 	events := forward.EventReader{Body: endlessReader{}}
-	if _, _, err := events.Next(); !errors.Is(err, forward.ErrTooLong) {
+	if _, _, err := events.Next(); !errors.Is(err, bound.ErrTooLong) {
 		t.Errorf("error %v", err)
 	}
 }
@@ -85,7 +122,7 @@
 // were complete.
 func TestOverlongAnswerIsRejected(t *testing.T) {
 	response := forward.Response{Body: io.NopCloser(endlessReader{})}
-	if _, err := response.ReadWhole(); !errors.Is(err, forward.ErrTooLong) {
+	if _, err := response.ReadWhole(); !errors.Is(err, bound.ErrTooLong) {
 		t.Errorf("error %v", err)
 	}
 }
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +17,7 @@
 
 	"samphirehead/protocol/call"
 	"samphirehead/state/fault"
+	"samphirehead/transport/bound"
 )
 
 const (
@@ -32,10 +32,17 @@
 	idleTimeout          = 4 * time.Second
 	maxIdlePerUpstream   = 24
 	bufferBytes          = 4 << 10
-	maxHeaderBytes       = 64 << 10
 	tcpUserTimeoutOption = 0x12
-	maxAnswerBytes       = 32 << 20
-	maxDiscardBytes      = 64 << 10
+	// headTimeout bounds the time from the first byte of an answer to the end of
+	// its head, and discardTimeout the reading of an answer that is not used.
+	headTimeout     = time.Second
+	discardTimeout  = 100 * time.Millisecond
+	maxDiscardBytes = 64 << 10
+	// maxAnswerBytes bounds a whole answer, and maxEventBytes one event.
+	maxAnswerBytes = 32 << 20
+	maxEventBytes  = 256 << 10
+	// defaultMemory is the memory for answers if Client.Memory is 0.
+	defaultMemory = 256 << 20
 )
 
 // ErrNotSent marks the errors of requests of which no byte reached the upstream.
@@ -45,49 +52,80 @@
 // the id of the request, as it may belong to another request.
 var ErrMismatchedAnswer = errors.New("answer does not belong to the request")
 
-// ErrTooLong means that an answer or event is longer than its size limit.
-var ErrTooLong = errors.New("answer or event too long")
+// ErrSlowHead is the cause of the error for an answer whose head does not end.
+var ErrSlowHead = errors.New("head of the answer does not end")
 
 // Client sends requests to upstreams. Set the exported fields before first use.
 // It is safe for concurrent use.
 type Client struct {
 	Dialect call.Dialect
+	// Memory bounds the bytes of answers that are buffered at the same time; 0
+	// means the default.
+	Memory int64
 
-	once sync.Once
+	once   sync.Once
+	memory *bound.Memory
 	// pooled reuses connections; unpooled opens one for each request.
 	pooled, unpooled *http.Transport
 }
 
 // Response is an upstream's answer. Its body must be closed, which ReadWhole and
-// Discard do.
+// Discard do, and Release must be called when it is no longer used.
 type Response struct {
 	call.Reply
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+
+	whole bound.Buffer
 }
 
 // Send sends a request and returns its answer with an unread body. If an error
 // is not marked with ErrNotSent, the request may run.
 func (c *Client) Send(ctx context.Context, r *call.Request, options call.SendOptions) (*Response, error) {
 	c.once.Do(c.init)
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	response, err := c.transport(options).RoundTrip(c.request(ctx, r, options))
-	if err != nil {
-		if !connected.Load() {
-			err = errors.Mark(err, ErrNotSent)
+	response, err := c.sendOver(ctx, c.transport(options), r, options)
+	if errors.Is(err, errStaleConnection) && ctx.Err() == nil {
+		response, err = c.sendOver(ctx, c.unpooled, r, options)
+	}
+	return response, err
+}
+
+func (c *Client) sendOver(ctx context.Context, transport *http.Transport, r *call.Request, options call.SendOptions) (*Response, error) {
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	e := exchange{cancel: cancel}
+	raw, err := transport.RoundTrip(c.request(httptrace.WithClientTrace(sendCtx, e.trace()), r, options))
+	e.headEnded()
+	if err == nil {
+		raw.Body = &cancellingBody{ReadCloser: raw.Body, cancel: cancel}
+		if !e.answered(c.Dialect.ParseReply(raw), r.ID) {
+			_ = raw.Body.Close()
+			// Without a body, the connection may be in the pool by now.
+			_ = e.conn.Close()
+			err = ErrMismatchedAnswer
 		}
-		return nil, fault.Wrap("send request", options.Address, err)
 	}
-	reply := c.Dialect.ParseReply(response)
-	if reply.ID != r.ID && !reply.NotRun {
-		_ = response.Body.Close()
-		return nil, fault.Wrap("read answer", options.Address, ErrMismatchedAnswer)
+	if err != nil {
+		err = e.classify(err, context.Cause(sendCtx))
+		cancel(nil)
+		return nil, fault.Wrap("send request", options.Address, err)
 	}
-	return &Response{Reply: reply, Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+	return &Response{
+		Reply: c.Dialect.ParseReply(raw), Status: raw.StatusCode, Header: raw.Header, Body: raw.Body,
+		whole: bound.Buffer{Memory: c.memory, Limit: maxAnswerBytes},
+	}, nil
+}
+
+// Buffered returns the bytes of answers that are reserved now.
+func (c *Client) Buffered() int64 {
+	c.once.Do(c.init)
+	return c.memory.Used()
+}
+
+// PeakBuffered returns the most bytes of answers that were reserved at any time.
+func (c *Client) PeakBuffered() int64 {
+	c.once.Do(c.init)
+	return c.memory.Peak()
 }
 
 func (c *Client) request(ctx context.Context, r *call.Request, options call.SendOptions) *http.Request {
@@ -118,37 +156,66 @@
 }
 
 // ReadWhole reads the whole body of an answer and closes it. A body longer than
-// maxAnswerBytes is an error, because a truncated one would look complete to the
-// caller.
+// the limit is an error, because a truncated one would look complete to the
+// caller. The bytes may be used until Release.
 func (r *Response) ReadWhole() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = ErrTooLong
+	if r.whole.Limit == 0 {
+		r.whole.Limit = maxAnswerBytes
+	}
+	for {
+		_, err := r.whole.Fill(r.Body)
+		if errors.Is(err, io.EOF) {
+			return r.whole.Data, r.Body.Close()
+		}
+		if err != nil {
+			r.Release()
+			return nil, errors.CombineErrors(err, r.Body.Close())
+		}
 	}
-	return body, errors.CombineErrors(err, r.Body.Close())
 }
 
+// Events returns a reader of the events of the answer.
+func (r *Response) Events() *EventReader {
+	return &EventReader{Body: r.Body, pending: bound.Buffer{Memory: r.whole.Memory}}
+}
+
+// Release drops the bytes that ReadWhole returned.
+func (r *Response) Release() { r.whole.Release() }
+
 // Discard closes an answer that is not forwarded. It reads the rest of a short
 // body, so that the connection can be reused.
 func (r *Response) Discard() {
+	timer := time.AfterFunc(discardTimeout, func() { _ = r.Body.Close() })
+	defer timer.Stop()
 	// The answer is not used any more, so errors of reading it do not matter.
 	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
 	_ = r.Body.Close()
 }
 
 func (c *Client) init() {
+	if c.Memory <= 0 {
+		c.Memory = defaultMemory
+	}
+	c.memory = &bound.Memory{Limit: c.Memory}
 	c.pooled = newTransport()
 	c.unpooled = newTransport()
 	c.unpooled.DisableKeepAlives = true
 }
 
 func newTransport() *http.Transport {
+	dialer := newDialer()
 	return &http.Transport{
-		DialContext:            newDialer().DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return newConn(c), nil
+		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: bound.MaxHeaderBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 	}
