transport: bound the responses of services, engines, peers and the store

Cause: a service, the store or a peer that sends bytes without end was read until the time limit, without a bound in bytes, and an engine that sends what is no event of the request was never given up. Stand-ins have a fault for it.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -136,6 +136,9 @@
 		if _, ok := e.Faults.Trigger(fault.Down, r.Method+" "+r.URL.Path); ok || down {
 			fault.DropConnection()
 		}
+		if _, ok := e.Faults.Trigger(fault.Endless, r.Method+" "+r.URL.Path); ok {
+			fault.WriteEndless(w)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -34,10 +34,16 @@
 	Crash Kind = "crash"
 	// Stall keeps connections open without making progress.
 	Stall Kind = "stall"
+	// Endless responds with bytes that are no response of the protocol, until
+	// the client closes the connection. Nothing is done for the request.
+	Endless Kind = "endless"
 	// StaleReport stops updates of the list of instances.
 	StaleReport Kind = "stale_report"
 )
 
+// endlessPartBytes is how many bytes WriteEndless writes at once.
+const endlessPartBytes = 16 << 10
+
 // Fault is one fault. It applies until it expires or its count is used up.
 type Fault struct {
 	Kind Kind `json:"kind"`
@@ -221,7 +227,7 @@
 
 func (f Fault) hasKnownKind() bool {
 	switch f.Kind {
-	case Slow, Down, LostAnswer, LateWrite, Crash, Stall, StaleReport:
+	case Slow, Down, LostAnswer, LateWrite, Crash, Stall, Endless, StaleReport:
 		return true
 	}
 	return false
@@ -247,6 +253,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// WriteEndless writes a response whose body does not end before the client closes
+// the connection. It does not return.
+func WriteEndless(w http.ResponseWriter) {
+	for part := make([]byte, endlessPartBytes); ; {
+		if _, err := w.Write(part); err != nil {
+			DropConnection()
+		}
+	}
+}
+
 // Sleep returns after d or when ctx is done.
 func Sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -148,6 +148,9 @@
 			<-r.Context().Done()
 			fault.DropConnection()
 		}
+		if _, ok := p.Faults.Trigger(fault.Endless, subject, string(body)); ok {
+			fault.WriteEndless(w)
+		}
 		if _, ok := p.Faults.Trigger(fault.Down, subject, string(body)); ok {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -158,6 +158,9 @@
 	if _, ok := s.Faults.Trigger(fault.Down, subjects...); ok {
 		fault.DropConnection()
 	}
+	if _, ok := s.Faults.Trigger(fault.Endless, subjects...); ok {
+		fault.WriteEndless(w)
+	}
 	run := s.runCall(r, body)
 	if f, ok := s.Faults.Trigger(fault.Crash, subjects...); ok {
 		s.crash(f)
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -18,6 +18,7 @@
 	"samphirehead/protocol/openai"
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
+	"samphirehead/transport/bound"
 )
 
 const (
@@ -60,6 +61,8 @@
 		IdleConnTimeout:       idleConnTimeout,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: 0,
+
+		MaxResponseHeaderBytes: bound.MaxHeaderBytes,
 	}}
 }
 
@@ -113,12 +116,12 @@
 		if ev.Data == doneMarker {
 			return result, fault.Wrap("read stream", r.Address, endError(finished))
 		}
-		stallTimer.Reset(r.TokenTimeout)
 		parsed, ok := parseEvent(r, result.Next, ev)
 		if !ok {
 			result.Dropped++
 			continue
 		}
+		stallTimer.Reset(r.TokenTimeout)
 		if err := deliver(parsed); err != nil {
 			return result, err
 		}
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -11,6 +11,7 @@
 
 	"samphirehead/protocol/exchange"
 	"samphirehead/state/fault"
+	"samphirehead/transport/bound"
 	shared "samphirehead/transport/secret"
 )
 
@@ -22,6 +23,8 @@
 	fetchTimeout   = 2 * time.Second
 	idleTimeout    = 10 * time.Second
 	maxIdlePerPeer = 2
+	// maxResponseBytes bounds a response. Tables are the largest ones.
+	maxResponseBytes = 16 << 20
 )
 
 // Handler returns a handler that serves service to callers that send secret.
@@ -62,8 +65,11 @@
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdlePerPeer,
+
+			MaxResponseHeaderBytes: bound.MaxHeaderBytes,
 		}
-		c.http = &http.Client{Transport: &shared.Transport{Secret: c.Secret, Next: transport}}
+		bounded := &bound.Transport{Next: transport, MaxBytes: maxResponseBytes}
+		c.http = &http.Client{Transport: &shared.Transport{Secret: c.Secret, Next: bounded}}
 	})
 	return exchange.NewExchangeProtobufClient("http://"+address, c.http)
 }
--- a/transport/peer/clients.go
+++ b/transport/peer/clients.go
@@ -14,6 +14,7 @@
 
 	"samphirehead/coordination/membership"
 	"samphirehead/protocol/peer"
+	"samphirehead/transport/bound"
 	"samphirehead/transport/secret"
 )
 
@@ -33,6 +34,8 @@
 	// maxConnections bounds the connections to one address when many calls
 	// start before the first connection is established.
 	maxConnections = 4
+	// maxResponseBytes bounds a response. Manifests are the largest ones.
+	maxResponseBytes = 64 << 20
 )
 
 // Clients holds the clients that call other instances. Exported fields must be
@@ -112,6 +115,7 @@
 	if c.Wrap != nil {
 		roundTripper = c.Wrap(roundTripper)
 	}
+	roundTripper = &bound.Transport{Next: roundTripper, MaxBytes: maxResponseBytes}
 	roundTripper = &secret.Transport{Secret: c.Secret, Next: roundTripper}
 	c.httpClient = &http.Client{Transport: roundTripper, Timeout: callTimeout}
 }
@@ -124,6 +128,8 @@
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout: idleTimeout,
 		MaxConnsPerHost: maxConnections,
+
+		MaxResponseHeaderBytes: bound.MaxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			StrictMaxConcurrentRequests: true,
 			SendPingTimeout:             readIdleTimeout,
--- a/transport/service/service.go
+++ b/transport/service/service.go
@@ -16,11 +16,14 @@
 
 	"samphirehead/coordination/claim"
 	"samphirehead/state/fault"
+	"samphirehead/transport/bound"
 )
 
 const (
-	dialTimeout         = 500 * time.Millisecond
-	maxAnswerBytes      = 4 << 20
+	dialTimeout    = 500 * time.Millisecond
+	maxAnswerBytes = 4 << 20
+	// maxReadingBytes bounds the bodies that are being read at the same time.
+	maxReadingBytes     = 64 << 20
 	maxIdleConnsPerHost = 64
 )
 
@@ -41,9 +44,11 @@
 	once     sync.Once
 	pooled   *http.Client
 	unpooled *http.Client
+	memory   bound.Memory
 }
 
 func (c *Client) init() {
+	c.memory.Limit = maxReadingBytes
 	c.pooled = &http.Client{Transport: newTransport(false), CheckRedirect: returnRedirect}
 	c.unpooled = &http.Client{Transport: newTransport(true), CheckRedirect: returnRedirect}
 }
@@ -59,6 +64,8 @@
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: bound.MaxHeaderBytes,
 	}
 }
 
@@ -67,22 +74,22 @@
 // SendOnce sends the call that a permit allows, at most once.
 func (c *Client) SendOnce(ctx context.Context, _ *claim.Permit, call Call) claim.Evidence {
 	c.once.Do(c.init)
-	return send(ctx, c.unpooled, call)
+	return c.send(ctx, c.unpooled, call)
 }
 
 // SendRepeatable sends a call that may run more than once. net/http may repeat
 // it.
 func (c *Client) SendRepeatable(ctx context.Context, call Call) claim.Evidence {
 	c.once.Do(c.init)
-	return send(ctx, c.pooled, call)
+	return c.send(ctx, c.pooled, call)
 }
 
-func send(ctx context.Context, client *http.Client, call Call) claim.Evidence {
+func (c *Client) send(ctx context.Context, client *http.Client, call Call) claim.Evidence {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	answer, err := roundTrip(ctx, client, call)
+	answer, err := c.roundTrip(ctx, client, call)
 	switch {
 	case err == nil:
 		return claim.Answered{Answer: answer}
@@ -93,7 +100,7 @@
 	}
 }
 
-func roundTrip(ctx context.Context, client *http.Client, call Call) (claim.Answer, error) {
+func (c *Client) roundTrip(ctx context.Context, client *http.Client, call Call) (claim.Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Target, bytes.NewReader(call.Body))
 	if err != nil {
 		return claim.Answer{}, fault.Wrap("make request", call.Address, err)
@@ -104,12 +111,25 @@
 		return claim.Answer{}, fault.Wrap("call service", call.Address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := c.readBody(resp.Body)
 	if err != nil {
 		return claim.Answer{}, fault.Wrap("read answer", call.Address, err)
 	}
-	if len(body) > maxAnswerBytes {
-		return claim.Answer{}, fault.Wrap("read answer", call.Address, errors.New("the answer is larger than 4 MiB"))
-	}
 	return claim.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
+
+// readBody reads a whole body. The memory for bodies is shared by those that are
+// being read.
+func (c *Client) readBody(r io.Reader) ([]byte, error) {
+	buffer := bound.Buffer{Memory: &c.memory, Limit: maxAnswerBytes}
+	defer buffer.Release()
+	for {
+		_, err := buffer.Fill(r)
+		if errors.Is(err, io.EOF) {
+			return buffer.Data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/transport/service/service_test.go
+++ b/transport/service/service_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -206,3 +208,34 @@
 		})
 	}
 }
+
+// Many endless answers at once make calls fail, and leave memory for short ones.
+func TestEndlessAnswers(t *testing.T) {
+	part := []byte(strings.Repeat("x", 64<<10))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.URL.Path == "/endless" {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	client := &service.Client{}
+	call := func(target string) claim.Evidence {
+		return client.SendRepeatable(t.Context(), service.Call{
+			Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Target: target,
+		})
+	}
+	var calls sync.WaitGroup
+	for range 50 {
+		calls.Go(func() {
+			if got, ok := call("/endless").(claim.MayHaveSent); !ok {
+				t.Errorf("an endless answer: %+v", got)
+			}
+			if got, ok := call("/short").(claim.Answered); !ok {
+				t.Errorf("a short answer: %+v", got)
+			}
+		})
+	}
+	calls.Wait()
+}
