platform: read changes of many upstreams together, and routes by longer calls

Calls for the routes wait 15 s; keep-alives and TCP_USER_TIMEOUT end them on a dead connection, as those to upstreams have them already, and peers bring the routes meanwhile.

--- a/router/router.go
+++ b/router/router.go
@@ -37,7 +37,7 @@
 	// Watch keeps a copy of a table up to date until ctx ends, and returns the
 	// error of ctx. It calls onCall after each call to the platform with the
 	// error of that call, nil if the platform answered.
-	Watch(ctx context.Context, table string, dst *mirror.Mirror, onCall func(error)) error
+	Watch(ctx context.Context, table string, dst *mirror.Mirror, options mirror.WatchOptions, onCall func(error)) error
 	// Tables returns the names of the tables of the routes and the upstreams.
 	Tables() (routes, upstreams string)
 	// DecodeRoutes decodes the rows of the table of the routes. It returns nil
@@ -250,8 +250,10 @@
 
 func (r *Router) tasks() []task.Task {
 	tasks := []task.Task{
-		{Name: "routes", Run: func(ctx context.Context) error { return r.watch(ctx, &r.routes) }},
-		{Name: "upstreams", Run: func(ctx context.Context) error { return r.watch(ctx, &r.upstreams) }},
+		{Name: "routes", Run: func(ctx context.Context) error { return r.watch(ctx, &r.routes, mirror.WatchOptions{Wait: routesWait}) }},
+		{Name: "upstreams", Run: func(ctx context.Context) error {
+			return r.watch(ctx, &r.upstreams, mirror.WatchOptions{Wait: upstreamsWait, MaxPause: maxUpstreamsPause})
+		}},
 		{Name: "tables", Run: r.applyTables},
 		{Name: "exchange", Run: r.gossip},
 		{Name: "announcement", Run: r.announce},
--- a/router/tables.go
+++ b/router/tables.go
@@ -9,17 +9,30 @@
 
 	"samphirehead/coordination/heartbeat"
 	"samphirehead/coordination/registry"
+	"samphirehead/state/mirror"
 	"samphirehead/state/routing"
 )
 
-// maxPeerReportAge is how long a peer's report that the platform answers it
-// remains valid.
-const maxPeerReportAge = time.Second
+const (
+	// maxPeerReportAge is how long a peer's report that the platform answers it
+	// remains valid.
+	maxPeerReportAge = time.Second
+	// routesWait is how long an idle call for changes of the routes may take.
+	// Keep-alives end a call on a dead connection, and peers bring the routes
+	// meanwhile. It is shorter than the history that the platform keeps.
+	routesWait = 15 * time.Second
+	// upstreamsWait is the same for the upstreams. These calls also show whether
+	// the platform answers.
+	upstreamsWait = 2500 * time.Millisecond
+	// maxUpstreamsPause is the longest pause between calls while upstreams change
+	// one after the other, as when all start.
+	maxUpstreamsPause = 400 * time.Millisecond
+)
 
 // watch keeps the copy of one table up to date and tracks whether the platform
 // answers.
-func (r *Router) watch(ctx context.Context, c *tableCopy) error {
-	err := r.Platform.Watch(ctx, c.name, &c.Mirror, func(err error) {
+func (r *Router) watch(ctx context.Context, c *tableCopy, options mirror.WatchOptions) error {
+	err := r.Platform.Watch(ctx, c.name, &c.Mirror, options, func(err error) {
 		reachable := err == nil
 		if c.reachable.Swap(reachable) != reachable {
 			klog.InfoS("platform reachability changed", "table", c.name, "reached", reachable, "revision", c.Revision(), "err", err)
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 )
 
 // Revision numbers the successive states of a table.
@@ -20,6 +21,15 @@
 	Removed bool
 }
 
+// WatchOptions say how often the watch of a table may call the platform.
+type WatchOptions struct {
+	// Wait is how long the platform may hold a call while nothing changes.
+	Wait time.Duration
+	// MaxPause is the longest pause between two calls that both find changes;
+	// 0 means none.
+	MaxPause time.Duration
+}
+
 // Mirror is a copy of one table. The zero value is empty, at revision 0. It is
 // safe for concurrent use.
 type Mirror struct {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,21 +17,16 @@
 	"samphirehead/protocol/call"
 	"samphirehead/state/fault"
 	"samphirehead/transport/bound"
+	"samphirehead/transport/dial"
 )
 
 const (
 	dialTimeout = 400 * time.Millisecond
-	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged
-	// before the connection fails.
-	unacknowledgedTimeout = 1500 * time.Millisecond
-	keepAliveInterval     = time.Second
-	maxKeepAliveProbes    = 2
 	// idleTimeout is shorter than the idle timeout of upstreams. Otherwise an
 	// upstream could close a connection just as a request is sent on it.
-	idleTimeout          = 4 * time.Second
-	maxIdlePerUpstream   = 24
-	bufferBytes          = 4 << 10
-	tcpUserTimeoutOption = 0x12
+	idleTimeout        = 4 * time.Second
+	maxIdlePerUpstream = 24
+	bufferBytes        = 4 << 10
 	// headTimeout bounds the time from the first byte of an answer to the end of
 	// its head, and discardTimeout the reading of an answer that is not used.
 	headTimeout     = time.Second
@@ -203,7 +197,7 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := newDialer()
+	dialer := dial.NewDialer(dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
@@ -220,22 +214,3 @@
 		WriteBufferSize:        bufferBytes,
 	}
 }
-
-// newDialer returns a dialer whose connections fail soon if the peer stops
-// responding. Keep-alives detect this on idle connections, TCP_USER_TIMEOUT when
-// bytes were sent.
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxKeepAliveProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(unacknowledgedTimeout.Milliseconds()))
-			})
-			return errors.CombineErrors(err, optionErr)
-		},
-	}
-}
