balancer: copy shared prompt parts between engines, and learn whose pauses are at risk

Shared parts (13,300 tokens) were read again wherever the first engine by affinity was busy. And a prefill counted six times, idle engine or not. Change: streams with the tightest pause objective of a service are kept from bulk requests from the first one on; those with another one while more than a tenth of the streams beside bulk requests pause for longer. Engines that can copy KV cache get the address of one that has the parts. A prefill costs its time and a quarter of it for each running request, and more where the waiting prefills would pause sensitive streams. defaultTokenInterval, the estimate of pauses and prefillWeight are gone.

--- a/coordination/balancer/chooser.go
+++ b/coordination/balancer/chooser.go
@@ -64,6 +64,10 @@
 	Prefill id.Tokens
 	// PrefillAhead is how many tokens it is expected to process before those.
 	PrefillAhead id.Tokens
+	// Copied is how many prompt tokens the engine is expected to copy from the
+	// engine at CopyFrom. CopyFrom is empty if engines can't copy.
+	Copied   id.Tokens
+	CopyFrom string
 	// Expected is the time to an engine's first event; 0 for plain services.
 	Expected time.Duration
 	// LoadReports is the number of other instances whose load was counted, and
@@ -97,6 +101,8 @@
 
 	service           routing.Service
 	tightestObjective time.Duration
+	tightestPause     time.Duration
+	pauseRisks        pauseRisks
 	upstreams         []*upstream
 	byName            map[id.Upstream]*upstream
 	running           map[Ticket]*run
@@ -132,6 +138,7 @@
 // run is a request in progress.
 type run struct {
 	upstream *upstream
+	parts    []Part
 	prefill  id.Tokens
 	memory   id.Tokens
 	urgency  int
@@ -156,8 +163,8 @@
 	case Started:
 		c.start(now, ev.Ticket)
 	case Paused:
-		if r, ok := c.running[ev.Ticket]; ok && r.kind == bulk {
-			c.partition.observePause(ev.Longest)
+		if r, ok := c.running[ev.Ticket]; ok && r.kind != sensitive {
+			c.pauseRisks.observe(ev.Longest)
 		}
 	case Ended:
 		c.end(now, ev)
@@ -179,11 +186,13 @@
 	c.byName = make(map[id.Upstream]*upstream)
 	c.running = make(map[Ticket]*run)
 	c.reports = make(map[id.Instance]loadReport)
+	c.pauseRisks = make(pauseRisks)
 	c.bulkDelayFactor = initialBulkFactor
 }
 
 func (c *Chooser) configure(ev Configured) {
-	c.service, c.tightestObjective = ev.Service, ev.TightestObjective
+	c.service = ev.Service
+	c.tightestObjective, c.tightestPause = ev.TightestObjective, ev.TightestPause
 	byName := make(map[id.Upstream]*upstream, len(ev.Upstreams))
 	c.upstreams = c.upstreams[:0]
 	for _, e := range ev.Upstreams {
@@ -206,6 +215,7 @@
 	}
 	r.started = true
 	u := r.upstream
+	u.cache.markReady(r.parts)
 	u.local.Prefill[r.urgency] -= r.prefill
 	u.decayCounts(now)
 	u.local.Started++
@@ -308,7 +318,7 @@
 	}
 	chosen.LoadReports, chosen.ReportAge = c.reportStats(now)
 	c.running[r.Ticket] = &run{
-		upstream: u, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind,
+		upstream: u, parts: r.Parts, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind,
 		expected: baseDelay + u.prefillTime(chosen.PrefillAhead+chosen.Prefill), chosenAt: now,
 	}
 	return chosen, Chosen
--- a/coordination/balancer/chooser_test.go
+++ b/coordination/balancer/chooser_test.go
@@ -17,6 +17,7 @@
 const (
 	tightestObjective = 250 * time.Millisecond
 	bulkObjective     = 1500 * time.Millisecond
+	tightestPause     = 120 * time.Millisecond
 )
 
 func upstreams(n, slots int) []registry.Entry {
@@ -40,7 +41,7 @@
 	if tokens > 0 {
 		service.Engine = &routing.Engine{Slots: 64, KVTokens: tokens, EventTokens: 4}
 	}
-	c.Step(start, balancer.Configured{Service: service, Upstreams: upstreams(n, 6), TightestObjective: tightestObjective})
+	c.Step(start, balancer.Configured{Service: service, Upstreams: upstreams(n, 6), TightestObjective: tightestObjective, TightestPause: tightestPause})
 	return c
 }
 
--- /dev/null
+++ b/coordination/balancer/copy_test.go
@@ -0,0 +1,95 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"samphirehead/coordination/balancer"
+	"samphirehead/state/id"
+	"samphirehead/state/routing"
+)
+
+// copyingChooser returns a Chooser for n engines that copy KV cache at the given
+// rate; 0 if they can't.
+func copyingChooser(n int, linkBytesPerSecond float64) *balancer.Chooser {
+	c := &balancer.Chooser{FailureDomain: "d0"}
+	c.Step(start, balancer.Configured{
+		Service: routing.Service{Name: "s", Engine: &routing.Engine{
+			Slots: 64, KVTokens: 500_000, EventTokens: 3, KVBytesPerToken: 160_000, LinkBytesPerSecond: linkBytesPerSecond,
+		}},
+		Upstreams: upstreams(n, 64), TightestObjective: tightestObjective, TightestPause: tightestPause,
+	})
+	return c
+}
+
+const fastLink = 35e9
+
+// Pattern: a session whose long shared parts one engine has, and that engine can't
+// take the next request. Another engine may copy them from there, once they have been
+// read.
+func TestSharedPartsAreCopied(t *testing.T) {
+	for name, c := range map[string]struct {
+		link          float64
+		started, want bool
+	}{
+		"read":            {fastLink, true, true},
+		"not read yet":    {fastLink, false, false},
+		"can't be copied": {0, true, false},
+	} {
+		chooser := copyingChooser(6, c.link)
+		request := balancer.Request{Ticket: 1, Parts: prompt(1), Objective: bulkObjective}
+		first, _ := chooser.Choose(start, request)
+		if c.started {
+			chooser.Step(start, balancer.Started{Ticket: 1})
+		}
+		request.Ticket, request.Excluded = 2, []id.Upstream{first.Upstream}
+		got, _ := chooser.Choose(start, request)
+		if copied := got.CopyFrom == first.Address; copied != c.want {
+			t.Errorf("%s: copies from %q, the parts are at %s", name, got.CopyFrom, first.Address)
+		}
+		if got.CopyFrom == got.Address {
+			t.Errorf("%s: copies from itself", name)
+		}
+	}
+}
+
+// Pattern: a session with much of the traffic, on engines that copy fast. Its
+// requests spread over the engines, and few of them read the shared parts again.
+func TestBusySessionIsCopied(t *testing.T) {
+	const requests = 60
+	read := func(link float64) (engines int, tokens id.Tokens) {
+		c := copyingChooser(9, link)
+		used := map[id.Upstream]bool{}
+		now := start
+		for i := range requests {
+			now = now.Add(30 * time.Millisecond)
+			parts := prompt(1)
+			parts[2].Name += string(rune('a' + i))
+			got, _ := c.Choose(now, balancer.Request{Ticket: balancer.Ticket(i + 1), Parts: parts, Objective: bulkObjective})
+			c.Step(now, balancer.Started{Ticket: balancer.Ticket(i + 1)})
+			used[got.Upstream] = true
+			tokens += got.Prefill
+		}
+		return len(used), tokens
+	}
+	enginesAlone, tokensAlone := read(0)
+	engines, tokens := read(fastLink)
+	if engines < enginesAlone || tokens >= tokensAlone {
+		t.Errorf("with copies %d engines read %d tokens, without %d read %d", engines, tokens, enginesAlone, tokensAlone)
+	}
+	if own := id.Tokens(requests * 2900); tokens > own+6300 {
+		t.Errorf("%d tokens were read, want the shared parts once and %d", tokens, own)
+	}
+}
+
+// A failing engine is no source of copies.
+func TestEjectedEngineIsNoCopySource(t *testing.T) {
+	c := copyingChooser(3, fastLink)
+	first, _ := c.Choose(start, balancer.Request{Ticket: 1, Parts: prompt(1), Objective: bulkObjective})
+	c.Step(start, balancer.Started{Ticket: 1})
+	c.Step(start, balancer.EjectionReceived{Upstream: first.Upstream, For: time.Second})
+	got, _ := c.Choose(start, balancer.Request{Ticket: 2, Parts: prompt(1), Objective: bulkObjective})
+	if got.Copied > 0 || got.CopyFrom == first.Address {
+		t.Errorf("copies %d tokens from %q", got.Copied, got.CopyFrom)
+	}
+}
--- a/coordination/balancer/engine.go
+++ b/coordination/balancer/engine.go
@@ -21,11 +21,12 @@
 	// domainPenalty is the cost of sending to another failure domain.
 	domainPenalty = 2 * time.Millisecond
 	// streamPenalty is the cost to a tolerant request of each sensitive stream
-	// that its prefill would delay.
-	streamPenalty = 2 * time.Millisecond
-	// prefillWeight multiplies the time of a request's own prefill, since that
-	// also delays all later requests.
-	prefillWeight = 6
+	// that its prefill would delay, and longPausePenalty the cost of each one
+	// whose objective it would violate.
+	streamPenalty    = 2 * time.Millisecond
+	longPausePenalty = 15 * time.Millisecond
+	// delayWeight multiplies the delay of a running request by a prefill.
+	delayWeight = 0.25
 	// slowPenalty is the cost of an engine with a slowness of 2, twice the delay
 	// of the others; it grows linearly.
 	slowPenalty = 100 * time.Millisecond
@@ -49,7 +50,8 @@
 		// better than starting after the objective.
 		best, choice, _ = c.cheapest(now, r, kind, candidates)
 	}
-	choice.Expected = baseDelay + best.prefillTime(choice.PrefillAhead+choice.Prefill)
+	choice.CopyFrom = c.copyAddress(now, r, best, engines)
+	choice.Expected = baseDelay + best.prefillTime(choice.PrefillAhead+choice.Prefill) + c.copyTime(choice.Copied)
 	if kind == bulk {
 		choice.Expected = time.Duration(c.bulkDelayFactor * float64(choice.Expected))
 	}
@@ -73,12 +75,14 @@
 	var best *upstream
 	var choice Choice
 	lowestCost := time.Duration(0)
+	source := c.copySource(now, r, nil)
 	for rank, u := range rankByAffinity(engines, affinityKey(r.Parts)) {
 		load := c.load(now, u)
 		ahead := load.prefillAhead(r.Urgency)
-		prefill := u.cache.uncachedTokens(r.Parts, rank == 0)
+		prefill, copied := u.cache.missingTokens(r.Parts, rank == 0, source)
 		slowness := load.slowness(total)
-		cost := time.Duration(slowness*float64(u.prefillTime(ahead)+prefillWeight*u.prefillTime(prefill))) +
+		cost := time.Duration(slowness*float64(u.prefillTime(ahead)+load.prefillCost(u.prefillTime(prefill)))) +
+			copyWeight*c.copyTime(copied) +
 			time.Duration((slowness-1)*float64(slowPenalty)) +
 			time.Duration(rank)*rankPenalty +
 			time.Duration(load.Running)*runPenalty +
@@ -87,14 +91,23 @@
 		if k == tolerant {
 			cost += time.Duration(load.Sensitive) * streamPenalty
 		}
+		if c.lengthensPauses(u, load, prefill) {
+			cost += time.Duration(load.Sensitive) * longPausePenalty
+		}
 		if best == nil || cost < lowestCost {
 			best, lowestCost = u, cost
-			choice = Choice{Entry: u.Entry, Prefill: prefill, PrefillAhead: ahead, Rank: rank, kind: k}
+			choice = Choice{Entry: u.Entry, Prefill: prefill, PrefillAhead: ahead, Rank: rank, Copied: copied, kind: k}
 		}
 	}
 	return best, choice, lowestCost
 }
 
+// prefillCost is the time of a request's own prefill and the delay by which it
+// lengthens the answers of the running requests.
+func (l Load) prefillCost(prefill time.Duration) time.Duration {
+	return time.Duration((1 + delayWeight*float64(l.Running)) * float64(prefill))
+}
+
 // occupancyCost is the cost of an engine that is nearly full.
 func (c *Chooser) occupancyCost(u *upstream, l Load) time.Duration {
 	engine := c.service.Engine
--- a/coordination/balancer/events.go
+++ b/coordination/balancer/events.go
@@ -18,12 +18,15 @@
 	// TightestObjective is the shortest objective of the service's streaming
 	// routes; 0 if there is none, and then no request counts as bulk.
 	TightestObjective time.Duration
+	// TightestPause is the shortest pause objective of these routes; 0 if there
+	// is none. Streams with it always count as sensitive.
+	TightestPause time.Duration
 }
 
 // Started reports the first byte of an answer.
 type Started struct{ Ticket Ticket }
 
-// Paused reports the longest pause of a stream.
+// Paused reports the longest pause of a stream between two events.
 type Paused struct {
 	Ticket  Ticket
 	Longest time.Duration
--- a/coordination/balancer/partition.go
+++ b/coordination/balancer/partition.go
@@ -25,15 +25,6 @@
 	// A request is bulk if its objective is at least bulkObjectiveFactor times
 	// the tightest objective of its service.
 	bulkObjectiveFactor = 3
-	// defaultTokenInterval is the assumed time for one token during the prefill
-	// of a long prompt. The estimate of pauses starts from it.
-	defaultTokenInterval = 35 * time.Millisecond
-	// pauseQuantile is the estimated quantile of the streams' longest pauses,
-	// pauseStep the relative change of the estimate for one stream, and
-	// pauseMargin a factor that allows for pauses above the quantile.
-	pauseQuantile = 0.9
-	pauseStep     = 0.02
-	pauseMargin   = 1.25
 
 	// demandTimeConstant is the time constant of the prefill demand.
 	demandTimeConstant = 2 * time.Second
@@ -63,9 +54,6 @@
 	// streams, as of decayedAt.
 	prefillSeconds float64
 	decayedAt      time.Time
-	// pauseEstimate is the estimated pauseQuantile of the longest pauses of
-	// streams on engines that run bulk requests; 0 until first used.
-	pauseEstimate time.Duration
 }
 
 func (p *enginePartition) decay(now time.Time) {
@@ -75,26 +63,14 @@
 	}
 }
 
-// observePause updates the estimate with the longest pause of one bulk stream.
-func (p *enginePartition) observePause(longest time.Duration) {
-	step := time.Duration(pauseStep * float64(p.pauseEstimate))
-	if longest > p.pauseEstimate {
-		p.pauseEstimate += time.Duration(pauseQuantile * float64(step))
-		return
-	}
-	p.pauseEstimate -= time.Duration((1 - pauseQuantile) * float64(step))
-}
-
 // kindOf returns the kind of a request.
 func (c *Chooser) kindOf(r Request) kind {
-	if c.partition.pauseEstimate == 0 {
-		c.partition.pauseEstimate = time.Duration(max(c.service.Engine.EventTokens, 1)) * defaultTokenInterval
-	}
-	expectedPause := time.Duration(pauseMargin * float64(c.partition.pauseEstimate))
 	switch {
 	case c.tightestObjective > 0 && r.Objective >= bulkObjectiveFactor*c.tightestObjective:
 		return bulk
-	case r.PauseObjective > 0 && r.PauseObjective < expectedPause:
+	case r.PauseObjective <= 0:
+		return tolerant
+	case r.PauseObjective <= c.tightestPause || c.pauseRisks.sensitive(r.PauseObjective):
 		return sensitive
 	}
 	return tolerant
--- /dev/null
+++ b/coordination/balancer/pause.go
@@ -0,0 +1,78 @@
+package balancer
+
+import (
+	"time"
+
+	"samphirehead/state/id"
+)
+
+const (
+	// A pause objective is at risk if more than maxPauseRisk of the streams
+	// beside bulk requests paused for longer, and no longer at risk if less than
+	// minPauseRisk did.
+	maxPauseRisk = 0.1
+	minPauseRisk = 0.05
+	// riskStreams is the number of streams that the estimate of a risk remembers.
+	// It starts as if initialStreams streams had shown the risk initialRisk.
+	riskStreams    = 150
+	initialStreams = 20
+	initialRisk    = 0.03
+	// pauseMargin allows for engines whose prefill is slower than their rate.
+	pauseMargin = 1.25
+)
+
+// pauseRisks holds the risk of each pause objective that requests have had. They
+// are as many as the routes of the service.
+type pauseRisks map[time.Duration]*pauseRisk
+
+// pauseRisk estimates which share of the streams beside bulk requests pauses for
+// longer than an objective.
+type pauseRisk struct {
+	// observed and exceeded are counts of streams that decay with each stream.
+	observed, exceeded float64
+	// sensitive is set while the objective is at risk.
+	sensitive bool
+}
+
+func (p *pauseRisk) observe(exceeded bool) {
+	p.observed *= 1 - 1.0/riskStreams
+	p.exceeded *= 1 - 1.0/riskStreams
+	p.observed++
+	if exceeded {
+		p.exceeded++
+	}
+	risk := (p.exceeded + initialStreams*initialRisk) / (p.observed + initialStreams)
+	switch {
+	case risk > maxPauseRisk:
+		p.sensitive = true
+	case risk < minPauseRisk:
+		p.sensitive = false
+	}
+}
+
+// observe updates all risks with the longest pause of one stream.
+func (p pauseRisks) observe(longest time.Duration) {
+	for objective, risk := range p {
+		risk.observe(longest > objective)
+	}
+}
+
+// sensitive reports whether an objective is at risk.
+func (p pauseRisks) sensitive(objective time.Duration) bool {
+	risk, known := p[objective]
+	if !known {
+		risk = &pauseRisk{}
+		p[objective] = risk
+	}
+	return risk.sensitive
+}
+
+// lengthensPauses reports whether a prefill, after those that wait on the engine,
+// would make the sensitive streams there pause for longer than their objective.
+func (c *Chooser) lengthensPauses(u *upstream, l Load, prefill id.Tokens) bool {
+	for _, tokens := range l.Prefill {
+		prefill += tokens
+	}
+	pause := time.Duration(pauseMargin * float64(u.prefillTime(prefill)))
+	return c.tightestPause > 0 && pause > c.tightestPause
+}
--- a/protocol/call/call.go
+++ b/protocol/call/call.go
@@ -46,6 +46,9 @@
 	// LastEventID is the id of the last event that the caller received if a
 	// stream is resumed, otherwise empty.
 	LastEventID string
+	// CopyFrom is the address of an upstream from which this one may copy the
+	// KV cache of the parts of the prompt that it lacks; empty for none.
+	CopyFrom string
 	// NewConnection is set for requests that may run at most once and are not
 	// streamed. They are not sent over reused connections, which the upstream
 	// may be closing.
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -146,10 +146,11 @@
 		Workspace:     j.workspaceName(),
 		Urgency:       j.urgency,
 		LastEventID:   lastEvent,
+		CopyFrom:      chosen.CopyFrom,
 		NewConnection: j.route.Semantics == routing.AtMostOnce && !j.route.Streaming,
 	}
 	klog.InfoS("sent", "request", j.ID, "upstream", a.Upstream, "attempt", len(j.tried), "left", send.Budget,
-		"rank", a.Rank, "prefill", a.Prefill, "ahead", a.PrefillAhead, "expected", a.Expected, "news", a.LoadReports, "age", a.ReportAge)
+		"rank", a.Rank, "prefill", a.Prefill, "copied", a.Copied, "ahead", a.PrefillAhead, "expected", a.Expected, "news", a.LoadReports, "age", a.ReportAge)
 	response, err := j.router.forward.Send(ctx, j.Request, send)
 	if err != nil {
 		result := failed
--- a/router/pools.go
+++ b/router/pools.go
@@ -37,14 +37,17 @@
 		}
 	}
 	p.upstreams = upstreams
-	shortest := shortestObjectives(table)
+	tightest := tightestObjectives(table)
 	for name, service := range table.Services {
 		c, ok := p.choosers[name]
 		if !ok {
 			c = &balancer.Chooser{FailureDomain: domain}
 			p.choosers[name] = c
 		}
-		c.Step(now, balancer.Configured{Service: service, Upstreams: byService[name], TightestObjective: shortest[name]})
+		c.Step(now, balancer.Configured{
+			Service: service, Upstreams: byService[name],
+			TightestObjective: tightest[name].start, TightestPause: tightest[name].pause,
+		})
 	}
 	for name := range p.choosers {
 		if _, remains := table.Services[name]; !remains {
@@ -53,21 +56,37 @@
 	}
 }
 
-// shortestObjectives returns the shortest objective of the streaming routes of
-// each service.
-func shortestObjectives(table *routing.Table) map[id.Service]time.Duration {
-	shortest := make(map[id.Service]time.Duration)
+// objectives are the shortest objectives of the streaming routes of a service; 0 if
+// there is none.
+type objectives struct{ start, pause time.Duration }
+
+func (o *objectives) add(r *routing.Route) {
+	o.start = shorter(o.start, r.Objective)
+	o.pause = shorter(o.pause, r.PauseObjective)
+}
+
+// shorter returns the shorter one of two durations, of which 0 means none.
+func shorter(a, b time.Duration) time.Duration {
+	if a <= 0 || b <= 0 {
+		return max(a, b, 0)
+	}
+	return min(a, b)
+}
+
+// tightestObjectives returns the shortest objectives for each service.
+func tightestObjectives(table *routing.Table) map[id.Service]objectives {
+	tightest := make(map[id.Service]objectives)
 	for route := range table.Routes() {
-		if !route.Streaming || route.Objective <= 0 {
+		if !route.Streaming {
 			continue
 		}
 		for _, target := range route.Targets {
-			if t, ok := shortest[target.Service]; !ok || route.Objective < t {
-				shortest[target.Service] = route.Objective
-			}
+			o := tightest[target.Service]
+			o.add(route)
+			tightest[target.Service] = o
 		}
 	}
-	return shortest
+	return tightest
 }
 
 // stepChooser passes an event to the chooser of a service.
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -89,6 +89,10 @@
 	KVTokens id.Tokens
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
+	// KVBytesPerToken is the size of the KV cache, and LinkBytesPerSecond the
+	// rate at which engines copy it from each other; 0 if they can't.
+	KVBytesPerToken    float64
+	LinkBytesPerSecond float64
 }
 
 // Workspace is the owner of one or more keys.
