--- a/commands/route.go
+++ b/commands/route.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// envSettings is the environment variable with the path of the settings
-	// file. The flag overrides it.
-	envSettings = "SAMPHIREHEAD_SETTINGS"
 	// memoryLimitShare is the fraction of the memory_bytes setting that becomes
 	// the soft memory limit of the Go runtime.
 	memoryLimitShare = 0.6
@@ -43,7 +40,7 @@
 }
 
 func (c *routeCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", os.Getenv(envSettings), "the settings `file`")
+	f.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "the settings `file`")
 }
 
 func (c *routeCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -68,7 +68,7 @@
 	return decision
 }
 
-// succeeded credits the retry budget with a completed request.
+// recordSuccess credits the retry budget with a completed request.
 func (e *Entry) recordSuccess(k retry.Key) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/router/peers.go
+++ b/router/peers.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// swap exchanges state with one instance, and fetches its copies of tables that
+// exchangeState exchanges state with one instance, and fetches its copies of tables that
 // are newer than the copies here.
 func (r *Router) exchangeState(ctx context.Context, address string) {
 	response, err := r.peers.Swap(ctx, address, r.stateMessage())
@@ -259,14 +259,18 @@
 		if !announced {
 			err := r.Platform.Announce(ctx, r.Settings.Instance, r.Addr(Peers))
 			announced = err == nil
+			if err != nil {
+				klog.V(1).InfoS("instance not announced", "err", err)
+			}
 		}
 		addresses, err := r.Platform.PeerAddresses(ctx)
-		if err == nil {
+		if err != nil {
+			klog.V(1).InfoS("announcements not read", "err", err)
+		} else {
 			r.stepMembership(heartbeat.SeedsAdded{Addresses: addresses})
 		}
 		wait := announceInterval
 		if err != nil || !announced {
-			klog.V(1).InfoS("instance not announced", "err", err)
 			wait = announceRetry
 		}
 		select {
--- a/state/settings/router.go
+++ b/state/settings/router.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -118,8 +119,8 @@
 		c.checkAddress("operator_address", s.OperatorAddress, document.CheckListenAddress)
 	}
 	c.checkAddress("platform_address", s.PlatformAddress, document.CheckDialAddress)
-	for _, seed := range s.Seeds {
-		c.checkAddress("seeds", seed, document.CheckDialAddress)
+	for i, seed := range s.Seeds {
+		c.checkAddress(fmt.Sprintf("seeds[%d]", i), seed, document.CheckDialAddress)
 	}
 	c.checkSecretSource("peer_secret", s.PeerSecretFile, s.PeerSecretEnv)
 	c.checkLogLevel(s.LogLevel)
--- a/state/settings/router_test.go
+++ b/state/settings/router_test.go
@@ -49,6 +49,7 @@
 		"host name":      {"10.0.0.9:1", "store:1", "platform_address"},
 		"port 0":         {"10.0.0.1:4", "10.0.0.1:0", "peer_address"},
 		"bad seed":       {"10.0.0.2:4", "x", "seeds"},
+		"two bad seeds":  {"10.0.0.2:4\"", "10.0.0.2:4\"\n  - \"x\"\n  - \"y\"", "seeds[2]"},
 		"no secret":      {"peer_secret_env: SECRET\n", "", "peer_secret"},
 		"two secrets":    {"peer_secret_env: SECRET", "peer_secret_env: A\npeer_secret_file: b", "peer_secret"},
 		"negative ratio": {"ratio: 0.2", "ratio: -1", "retries"},
