balancer: weigh reading shared parts again apart, and let streams not at risk give way

Change: shared parts that are read again cost six times their time, a request's own part its time and a quarter for each running request. Streams with the tightest pause objective share engines with bulk requests while these are expected to wait 0.4 of their objective and few streams pause for long. Bulk requests may use all engines before one is refused.

--- a/coordination/balancer/chooser.go
+++ b/coordination/balancer/chooser.go
@@ -103,10 +103,13 @@
 	tightestObjective time.Duration
 	tightestPause     time.Duration
 	pauseRisks        pauseRisks
-	upstreams         []*upstream
-	byName            map[id.Upstream]*upstream
-	running           map[Ticket]*run
-	reports           map[id.Instance]loadReport
+	// bulkWait averages the expected delay of bulk requests as a share of their
+	// objective.
+	bulkWait  float64
+	upstreams []*upstream
+	byName    map[id.Upstream]*upstream
+	running   map[Ticket]*run
+	reports   map[id.Instance]loadReport
 	// summedAt is when the reports were last added up; zero if sums are outdated.
 	summedAt  time.Time
 	partition enginePartition
--- a/coordination/balancer/engine.go
+++ b/coordination/balancer/engine.go
@@ -20,13 +20,16 @@
 	runPenalty = 500 * time.Microsecond
 	// domainPenalty is the cost of sending to another failure domain.
 	domainPenalty = 2 * time.Millisecond
-	// streamPenalty is the cost to a tolerant request of each sensitive stream
-	// that its prefill would delay, and longPausePenalty the cost of each one
+	// streamPenalty is the cost to other requests of each sensitive stream that
+	// their prefill would delay, and longPausePenalty the cost of each one
 	// whose objective it would violate.
 	streamPenalty    = 2 * time.Millisecond
 	longPausePenalty = 15 * time.Millisecond
 	// delayWeight multiplies the delay of a running request by a prefill.
 	delayWeight = 0.25
+	// rereadWeight multiplies the time of reading shared parts, which other
+	// engines have and which evict other parts.
+	rereadWeight = 6
 	// slowPenalty is the cost of an engine with a slowness of 2, twice the delay
 	// of the others; it grows linearly.
 	slowPenalty = 100 * time.Millisecond
@@ -40,24 +43,32 @@
 	occupancyPenalty = 10 * time.Second
 )
 
-// chooseEngine returns the cheapest engine of those that run the request's kind.
+// chooseEngine returns the cheapest engine of those that run the request's kind. If
+// they are overloaded, any engine may run it: running beside requests of the other
+// kind is better than starting after the objective.
 func (c *Chooser) chooseEngine(now time.Time, r Request, candidates []*upstream) (*upstream, Choice) {
 	kind := c.kindOf(r)
 	engines := c.enginesFor(now, kind, candidates)
 	best, choice, cost := c.cheapest(now, r, kind, engines)
-	if kind == sensitive && cost > r.Objective {
-		// The reserved engines are overloaded. Running beside bulk requests is
-		// better than starting after the objective.
+	if kind == sensitive && cost > r.Objective || kind == bulk && choice.Expected > r.maxStartDelay() {
 		best, choice, _ = c.cheapest(now, r, kind, candidates)
 	}
 	choice.CopyFrom = c.copyAddress(now, r, best, engines)
-	choice.Expected = baseDelay + best.prefillTime(choice.PrefillAhead+choice.Prefill) + c.copyTime(choice.Copied)
 	if kind == bulk {
-		choice.Expected = time.Duration(c.bulkDelayFactor * float64(choice.Expected))
+		c.observeBulkWait(choice.Expected, r.Objective)
 	}
 	return best, choice
 }
 
+// expectedStart returns the expected time to the first event of a request.
+func (c *Chooser) expectedStart(u *upstream, choice Choice) time.Duration {
+	expected := baseDelay + u.prefillTime(choice.PrefillAhead+choice.Prefill) + c.copyTime(choice.Copied)
+	if choice.kind == bulk {
+		return time.Duration(c.bulkDelayFactor * float64(expected))
+	}
+	return expected
+}
+
 // commit updates the cache and the prefill demand for a request that is about to
 // be sent to an engine.
 func (c *Chooser) commit(now time.Time, r Request, u *upstream, choice Choice) {
@@ -81,14 +92,16 @@
 		ahead := load.prefillAhead(r.Urgency)
 		prefill, copied := u.cache.missingTokens(r.Parts, rank == 0, source)
 		slowness := load.slowness(total)
-		cost := time.Duration(slowness*float64(u.prefillTime(ahead)+load.prefillCost(u.prefillTime(prefill)))) +
+		shared := max(prefill-r.Parts[len(r.Parts)-1].Tokens, 0)
+		reading := u.prefillTime(ahead) + load.prefillCost(u.prefillTime(prefill-shared)) + rereadWeight*u.prefillTime(shared)
+		cost := time.Duration(slowness*float64(reading)) +
 			copyWeight*c.copyTime(copied) +
 			time.Duration((slowness-1)*float64(slowPenalty)) +
 			time.Duration(rank)*rankPenalty +
 			time.Duration(load.Running)*runPenalty +
 			time.Duration(c.domainDistance(u))*domainPenalty +
 			c.occupancyCost(u, load)
-		if k == tolerant {
+		if k != sensitive {
 			cost += time.Duration(load.Sensitive) * streamPenalty
 		}
 		if c.lengthensPauses(u, load, prefill) {
@@ -99,10 +112,11 @@
 			choice = Choice{Entry: u.Entry, Prefill: prefill, PrefillAhead: ahead, Rank: rank, Copied: copied, kind: k}
 		}
 	}
+	choice.Expected = c.expectedStart(best, choice)
 	return best, choice, lowestCost
 }
 
-// prefillCost is the time of a request's own prefill and the delay by which it
+// prefillCost is the time of a prefill and the delay by which it
 // lengthens the answers of the running requests.
 func (l Load) prefillCost(prefill time.Duration) time.Duration {
 	return time.Duration((1 + delayWeight*float64(l.Running)) * float64(prefill))
--- a/coordination/balancer/events.go
+++ b/coordination/balancer/events.go
@@ -19,7 +19,7 @@
 	// routes; 0 if there is none, and then no request counts as bulk.
 	TightestObjective time.Duration
 	// TightestPause is the shortest pause objective of these routes; 0 if there
-	// is none. Streams with it always count as sensitive.
+	// is none.
 	TightestPause time.Duration
 }
 
--- a/coordination/balancer/partition.go
+++ b/coordination/balancer/partition.go
@@ -26,6 +26,13 @@
 	// the tightest objective of its service.
 	bulkObjectiveFactor = 3
 
+	// Streams with the tightest pause objective are kept from bulk requests also
+	// while it is not at risk, as long as bulk requests are expected to wait for
+	// less than maxBulkWait of their objective. bulkWaitStep is the weight of one
+	// request in the average.
+	maxBulkWait  = 0.4
+	bulkWaitStep = 0.2
+
 	// demandTimeConstant is the time constant of the prefill demand.
 	demandTimeConstant = 2 * time.Second
 	// maxPrefillUtilization is the largest share of their time that the
@@ -70,12 +77,20 @@
 		return bulk
 	case r.PauseObjective <= 0:
 		return tolerant
-	case r.PauseObjective <= c.tightestPause || c.pauseRisks.sensitive(r.PauseObjective):
+	}
+	tightest := r.PauseObjective <= c.tightestPause
+	if c.pauseRisks.atRisk(r.PauseObjective, tightest) || tightest && c.bulkWait < maxBulkWait {
 		return sensitive
 	}
 	return tolerant
 }
 
+// observeBulkWait updates the average wait of bulk requests with that of one.
+func (c *Chooser) observeBulkWait(expected, objective time.Duration) {
+	wait := min(float64(expected)/float64(objective), 1)
+	c.bulkWait += bulkWaitStep * (wait - c.bulkWait)
+}
+
 // Demand returns the prefill time for sensitive streams of this instance, as a
 // multiple of one engine's time.
 func (c *Chooser) Demand(now time.Time) float64 {
--- a/coordination/balancer/pause.go
+++ b/coordination/balancer/pause.go
@@ -13,10 +13,12 @@
 	maxPauseRisk = 0.1
 	minPauseRisk = 0.05
 	// riskStreams is the number of streams that the estimate of a risk remembers.
-	// It starts as if initialStreams streams had shown the risk initialRisk.
-	riskStreams    = 150
-	initialStreams = 20
-	initialRisk    = 0.03
+	// It starts as if initialStreams streams had shown the risk initialRisk, or
+	// initialTightestRisk for the tightest objective of the service.
+	riskStreams         = 150
+	initialStreams      = 20
+	initialRisk         = 0.03
+	initialTightestRisk = 0.15
 	// pauseMargin allows for engines whose prefill is slower than their rate.
 	pauseMargin = 1.25
 )
@@ -30,8 +32,8 @@
 type pauseRisk struct {
 	// observed and exceeded are counts of streams that decay with each stream.
 	observed, exceeded float64
-	// sensitive is set while the objective is at risk.
-	sensitive bool
+	// atRisk is set while the objective is at risk.
+	atRisk bool
 }
 
 func (p *pauseRisk) observe(exceeded bool) {
@@ -41,12 +43,12 @@
 	if exceeded {
 		p.exceeded++
 	}
-	risk := (p.exceeded + initialStreams*initialRisk) / (p.observed + initialStreams)
+	risk := p.exceeded / p.observed
 	switch {
 	case risk > maxPauseRisk:
-		p.sensitive = true
+		p.atRisk = true
 	case risk < minPauseRisk:
-		p.sensitive = false
+		p.atRisk = false
 	}
 }
 
@@ -57,14 +59,22 @@
 	}
 }
 
-// sensitive reports whether an objective is at risk.
-func (p pauseRisks) sensitive(objective time.Duration) bool {
+// atRisk reports whether an objective is at risk. The tightest objective of the
+// service is, until streams have shown otherwise.
+func (p pauseRisks) atRisk(objective time.Duration, tightest bool) bool {
 	risk, known := p[objective]
 	if !known {
-		risk = &pauseRisk{}
+		risk = newPauseRisk(tightest)
 		p[objective] = risk
 	}
-	return risk.sensitive
+	return risk.atRisk
+}
+
+func newPauseRisk(tightest bool) *pauseRisk {
+	if tightest {
+		return &pauseRisk{observed: initialStreams, exceeded: initialStreams * initialTightestRisk, atRisk: true}
+	}
+	return &pauseRisk{observed: initialStreams, exceeded: initialStreams * initialRisk}
 }
 
 // lengthensPauses reports whether a prefill, after those that wait on the engine,
--- a/coordination/balancer/pause_test.go
+++ b/coordination/balancer/pause_test.go
@@ -145,3 +145,53 @@
 		t.Errorf("a prefill of %d tokens delays 40 streams on %s", got.Prefill, got.Upstream)
 	}
 }
+
+// Pattern: long prompts fill the engines for bulk requests while few streams run on
+// the others. Prompts that would start after their objective go to these.
+func TestWaitingBulkUsesAllEngines(t *testing.T) {
+	c := mixedChooser(3)
+	var n tickets
+	used := map[id.Upstream]bool{}
+	c.Choose(start, quick(n.next(), quickPause))
+	c.Step(start, balancer.Started{Ticket: n.last})
+	for range 60 {
+		got, refusal := c.Choose(start, layout(n.next()))
+		if refusal == balancer.Chosen {
+			used[got.Upstream] = true
+		}
+	}
+	if len(used) != 3 {
+		t.Errorf("60 long prompts use %d of 3 engines", len(used))
+	}
+}
+
+// Pattern: as many long prompts as the engines can read, and engines on which no
+// stream pauses for long. Streams with the tightest objective share the engines with
+// the prompts while these wait, and are kept apart when they don't.
+func TestStreamsNotAtRiskGiveWayToWaitingBulk(t *testing.T) {
+	c := mixedChooser(9)
+	var n tickets
+	for range 200 {
+		c.Choose(start, layout(n.next()))
+		c.Step(start, balancer.Started{Ticket: n.last})
+		c.Step(start, balancer.Paused{Ticket: n.last, Longest: 50 * time.Millisecond})
+		c.Step(start, balancer.Ended{Ticket: n.last})
+	}
+	enginesOfStreams := func() int {
+		used := map[id.Upstream]bool{}
+		for range 40 {
+			got, _ := c.Choose(start, quick(n.next(), quickPause))
+			c.Step(start, balancer.Started{Ticket: n.last})
+			c.Step(start, balancer.Ended{Ticket: n.last})
+			used[got.Upstream] = true
+		}
+		return len(used)
+	}
+	idle := enginesOfStreams()
+	for range 60 {
+		c.Choose(start, layout(n.next()))
+	}
+	if waiting := enginesOfStreams(); waiting <= idle {
+		t.Errorf("the streams use %d engines while long prompts wait, %d otherwise", waiting, idle)
+	}
+}
