balancer: reserve a tenth of the engines from the start, and price long pauses higher

Change: a tenth of the engines is reserved until demand is known; 35 ms in place of 15 for each stream whose pause would be too long. At most 64 risks are kept.

--- a/coordination/balancer/engine.go
+++ b/coordination/balancer/engine.go
@@ -24,7 +24,7 @@
 	// their prefill would delay, and longPausePenalty the cost of each one
 	// whose objective it would violate.
 	streamPenalty    = 2 * time.Millisecond
-	longPausePenalty = 15 * time.Millisecond
+	longPausePenalty = 35 * time.Millisecond
 	// delayWeight multiplies the delay of a running request by a prefill.
 	delayWeight = 0.25
 	// rereadWeight multiplies the time of reading shared parts, which other
--- a/coordination/balancer/partition.go
+++ b/coordination/balancer/partition.go
@@ -46,6 +46,9 @@
 	// than needed may stay reserved.
 	shrinkInterval = 2 * time.Second
 	shrinkMargin   = 1.3
+	// initialReservedShare is the share of the engines that is reserved until
+	// demand is known.
+	initialReservedShare = 0.1
 	// maxReservedShare is the largest share of the engines that is reserved.
 	maxReservedShare = 0.7
 )
@@ -130,6 +133,9 @@
 func (p *enginePartition) resize(now time.Time, prefillLoad float64, streams, engines int) {
 	needed := max(prefillLoad/maxPrefillUtilization, float64(streams)/streamsPerEngine)
 	maxReserved := max(int(maxReservedShare*float64(engines)), 1)
+	if p.resizedAt.IsZero() {
+		p.reserved, p.resizedAt = int(initialReservedShare*float64(engines)), now
+	}
 	if wanted := int(math.Ceil(needed)); wanted > p.reserved {
 		p.reserved, p.resizedAt = wanted, now
 	}
--- a/coordination/balancer/pause.go
+++ b/coordination/balancer/pause.go
@@ -19,12 +19,15 @@
 	initialStreams      = 20
 	initialRisk         = 0.03
 	initialTightestRisk = 0.15
+	// maxPauseRisks bounds the objectives whose risk is known. Beyond it all are
+	// learned anew.
+	maxPauseRisks = 64
 	// pauseMargin allows for engines whose prefill is slower than their rate.
 	pauseMargin = 1.25
 )
 
-// pauseRisks holds the risk of each pause objective that requests have had. They
-// are as many as the routes of the service.
+// pauseRisks holds the risks of pause objectives that requests have had, at most
+// maxPauseRisks.
 type pauseRisks map[time.Duration]*pauseRisk
 
 // pauseRisk estimates which share of the streams beside bulk requests pauses for
@@ -64,6 +67,9 @@
 func (p pauseRisks) atRisk(objective time.Duration, tightest bool) bool {
 	risk, known := p[objective]
 	if !known {
+		if len(p) >= maxPauseRisks {
+			clear(p)
+		}
 		risk = newPauseRisk(tightest)
 		p[objective] = risk
 	}
--- a/coordination/balancer/pause_test.go
+++ b/coordination/balancer/pause_test.go
@@ -195,3 +195,20 @@
 		t.Errorf("the streams use %d engines while long prompts wait, %d otherwise", waiting, idle)
 	}
 }
+
+// Pattern: the first streams of a fleet of 90 engines, of which this instance sees
+// few. They must not all go to one engine, since those of other instances, which are
+// not known yet, go there too.
+func TestFirstStreamsUseSeveralEngines(t *testing.T) {
+	c := mixedChooser(90)
+	var n tickets
+	used := map[id.Upstream]bool{}
+	for range 12 {
+		got, _ := c.Choose(start, quick(n.next(), quickPause))
+		c.Step(start, balancer.Started{Ticket: n.last})
+		used[got.Upstream] = true
+	}
+	if len(used) < 5 {
+		t.Errorf("12 streams use %d of 90 engines", len(used))
+	}
+}
