transport: let tests of endless answers repeat a call of which nothing was sent

Traced by 5 runs at once beside 8: 16 calls ended with NothingSent, dial i/o timeout after the 500 ms that a call waits to connect; that is the truth about the call, and the test depended on the machine. Change: such a call is made again until something was sent; what is asserted stays. Only tests changed.

--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -102,6 +102,10 @@
 // send sends a request and reads its answer.
 func send(ctx context.Context, c *forward.Client, address string, r *call.Request) (string, error) {
 	response, err := c.Send(ctx, r, call.SendOptions{Address: address})
+	for errors.Is(err, forward.ErrNotSent) && ctx.Err() == nil {
+		// A busy machine may take longer to connect than Send waits for that.
+		response, err = c.Send(ctx, r, call.SendOptions{Address: address})
+	}
 	if err != nil {
 		return "", err
 	}
--- a/transport/service/service_test.go
+++ b/transport/service/service_test.go
@@ -221,21 +221,32 @@
 	}))
 	defer server.Close()
 	client := &service.Client{}
+	// A busy machine may take longer to connect than a call waits for that.
 	call := func(target string) claim.Evidence {
-		return client.SendRepeatable(t.Context(), service.Call{
-			Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Target: target,
-		})
+		for {
+			evidence := client.SendRepeatable(t.Context(), service.Call{
+				Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Target: target,
+			})
+			if !isType[claim.NothingSent](evidence) || t.Context().Err() != nil {
+				return evidence
+			}
+		}
 	}
 	var calls sync.WaitGroup
 	for range 50 {
 		calls.Go(func() {
-			if got, ok := call("/endless").(claim.MayHaveSent); !ok {
-				t.Errorf("an endless answer: %+v", got)
+			if got := call("/endless"); !isType[claim.MayHaveSent](got) {
+				t.Errorf("an endless answer: %T %+v", got, got)
 			}
-			if got, ok := call("/short").(claim.Answered); !ok {
-				t.Errorf("a short answer: %+v", got)
+			if got := call("/short"); !isType[claim.Answered](got) {
+				t.Errorf("a short answer: %T %+v", got, got)
 			}
 		})
 	}
 	calls.Wait()
 }
+
+func isType[T any](v any) bool {
+	_, ok := v.(T)
+	return ok
+}
