--- a/coordination/balancer/chooser.go
+++ b/coordination/balancer/chooser.go
@@ -327,60 +327,6 @@
 	return chosen, Chosen
 }
 
-// candidates returns the upstreams that the request may use and that are not
-// full. Ejected ones are returned only if the request may use no other.
-func (c *Chooser) candidates(now time.Time, r Request) ([]*upstream, Refusal) {
-	var available, ejected []*upstream
-	for _, u := range c.upstreams {
-		switch {
-		case !r.allows(u.Upstream):
-		case u.ejected(now):
-			ejected = append(ejected, u)
-		default:
-			available = append(available, u)
-		}
-	}
-	usable := available
-	if len(usable) == 0 {
-		usable = ejected
-	}
-	if len(usable) == 0 {
-		return nil, NoUpstream
-	}
-	usable = slices.DeleteFunc(usable, func(u *upstream) bool { return c.full(now, u, r.memory()) })
-	if len(usable) == 0 {
-		return nil, Full
-	}
-	return usable, Chosen
-}
-
-func (r Request) allows(u id.Upstream) bool {
-	return !slices.Contains(r.Excluded, u) && (r.Admits == nil || r.Admits(u))
-}
-
-// full reports whether an upstream lacks a slot or the memory for a request. An
-// upstream that runs nothing takes a request of any size.
-func (c *Chooser) full(now time.Time, u *upstream, memory id.Tokens) bool {
-	if !c.Bounded {
-		return false
-	}
-	load := c.load(now, u)
-	noFreeSlot := u.Slots > 0 && load.Running >= u.Slots
-	return noFreeSlot || u.KVTokens > 0 && load.Running > 0 && load.Memory+memory > u.KVTokens
-}
-
-// FreeSlots counts the free slots and all slots of admitted, not ejected upstreams.
-func (c *Chooser) FreeSlots(now time.Time, admits func(id.Upstream) bool) (free, slots int) {
-	for _, u := range c.upstreams {
-		if u.ejected(now) || !admits(u.Upstream) {
-			continue
-		}
-		slots += u.Slots
-		free += max(u.Slots-c.load(now, u).Running, 0)
-	}
-	return free, slots
-}
-
 // leastLoaded returns the candidate with the least work. Among equals it prefers
 // the one that started the fewest requests recently, so that the delay of each
 // upstream stays known and can be compared.
--- a/coordination/balancer/copy.go
+++ b/coordination/balancer/copy.go
@@ -39,17 +39,21 @@
 }
 
 // copyAddress returns the address of the engine from which u may copy what it lacks
-// of a prompt. u copies nothing that it has, so an address does no harm if u or the
-// other engine has other parts than this instance knows: requests of other instances
-// are likely to have left the shared parts at the first engines by affinity.
-func (c *Chooser) copyAddress(now time.Time, r Request, u *upstream, engines []*upstream) string {
-	if source := c.copySource(now, r, u); source != nil {
-		return source.Address
-	}
+// of a prompt. That is source, or the next best one if u is source itself. Without
+// one it is the first other engine by affinity, where requests of other instances
+// are likely to have left the shared parts. A wrong address does no harm, as an
+// engine copies only what it lacks and the other one has.
+func (c *Chooser) copyAddress(now time.Time, r Request, u, source *upstream, ranked []*upstream) string {
 	if !c.canCopy() {
 		return ""
 	}
-	for _, other := range rankByAffinity(engines, affinityKey(r.Parts)) {
+	if source == u {
+		source = c.copySource(now, r, u)
+	}
+	if source != nil {
+		return source.Address
+	}
+	for _, other := range ranked {
 		if other != u && !other.ejected(now) {
 			return other.Address
 		}
--- a/coordination/balancer/engine.go
+++ b/coordination/balancer/engine.go
@@ -48,12 +48,13 @@
 // kind is better than starting after the objective.
 func (c *Chooser) chooseEngine(now time.Time, r Request, candidates []*upstream) (*upstream, Choice) {
 	kind := c.kindOf(r)
-	engines := c.enginesFor(now, kind, candidates)
-	best, choice, cost := c.cheapest(now, r, kind, engines)
+	ranked := rankByAffinity(c.enginesFor(now, kind, candidates), affinityKey(r.Parts))
+	source := c.copySource(now, r, nil)
+	best, choice, cost := c.cheapest(now, r, kind, ranked, source)
 	if kind == sensitive && cost > r.Objective || kind == bulk && choice.Expected > r.maxStartDelay() {
-		best, choice, _ = c.cheapest(now, r, kind, candidates)
+		best, choice, _ = c.cheapest(now, r, kind, rankByAffinity(candidates, affinityKey(r.Parts)), source)
 	}
-	choice.CopyFrom = c.copyAddress(now, r, best, engines)
+	choice.CopyFrom = c.copyAddress(now, r, best, source, ranked)
 	if kind == bulk {
 		c.observeBulkWait(choice.Expected, r.Objective)
 	}
@@ -80,14 +81,14 @@
 }
 
 // cheapest returns the engine with the lowest cost, and that cost. Delays and
-// penalties add up to a cost in time.
-func (c *Chooser) cheapest(now time.Time, r Request, k kind, engines []*upstream) (*upstream, Choice, time.Duration) {
+// penalties add up to a cost in time. ranked has the engines in the order of
+// affinity; they may copy from source, which may be nil.
+func (c *Chooser) cheapest(now time.Time, r Request, k kind, ranked []*upstream, source *upstream) (*upstream, Choice, time.Duration) {
 	total := c.total(now)
 	var best *upstream
 	var choice Choice
 	lowestCost := time.Duration(0)
-	source := c.copySource(now, r, nil)
-	for rank, u := range rankByAffinity(engines, affinityKey(r.Parts)) {
+	for rank, u := range ranked {
 		load := c.load(now, u)
 		ahead := load.prefillAhead(r.Urgency)
 		prefill, copied := u.cache.missingTokens(r.Parts, rank == 0, source)
@@ -116,8 +117,8 @@
 	return best, choice, lowestCost
 }
 
-// prefillCost is the time of a prefill and the delay by which it
-// lengthens the answers of the running requests.
+// prefillCost is the time of a prefill and the delay by which it lengthens the
+// answers of the running requests.
 func (l Load) prefillCost(prefill time.Duration) time.Duration {
 	return time.Duration((1 + delayWeight*float64(l.Running)) * float64(prefill))
 }
--- a/coordination/balancer/pause_test.go
+++ b/coordination/balancer/pause_test.go
@@ -19,7 +19,7 @@
 )
 
 // mixedChooser returns a Chooser for engines with events of 3 tokens, for quick
-// streams with short pauses beside layouts with long prompts.
+// streams with short pauses beside streams with long prompts.
 func mixedChooser(engines int) *balancer.Chooser {
 	c := &balancer.Chooser{FailureDomain: "d0"}
 	c.Step(start, balancer.Configured{
@@ -36,15 +36,15 @@
 	}
 }
 
-func layout(ticket balancer.Ticket) balancer.Request {
+func longPrompt(ticket balancer.Ticket) balancer.Request {
 	return balancer.Request{
 		Ticket: ticket, Objective: 2500 * time.Millisecond, PauseObjective: longPause, Urgency: 2,
-		Parts: []balancer.Part{{Name: fmt.Sprint("survey", ticket), Tokens: 13_300}, {Name: fmt.Sprint("own", ticket), Tokens: 3700}},
+		Parts: []balancer.Part{{Name: fmt.Sprint("shared", ticket), Tokens: 13_300}, {Name: fmt.Sprint("own", ticket), Tokens: 3700}},
 	}
 }
 
-// Pattern: quick streams with pauses of 250 ms beside layouts of 17,000 prompt
-// tokens, from the first request on. Nothing has been learned yet, and no layout may
+// Pattern: quick streams with pauses of 250 ms beside prompts of 17,000
+// tokens, from the first request on. Nothing has been learned yet, and no long prompt may
 // go where a quick stream runs.
 func TestTightestStreamsAreKeptFromLongPrompts(t *testing.T) {
 	c := mixedChooser(9)
@@ -55,23 +55,23 @@
 		got, _ := c.Choose(now, quick(n.next(), quickPause))
 		c.Step(now, balancer.Started{Ticket: n.last})
 		streams[got.Upstream] = true
-		got, _ = c.Choose(now, layout(n.next()))
+		got, _ = c.Choose(now, longPrompt(n.next()))
 		c.Step(now, balancer.Started{Ticket: n.last})
 		if streams[got.Upstream] {
-			t.Fatalf("layout %d goes to %s, where a quick stream runs", i, got.Upstream)
+			t.Fatalf("long prompt %d goes to %s, where a quick stream runs", i, got.Upstream)
 		}
 	}
 }
 
-// Pattern: streams with a longer objective for pauses. They share engines with the
-// layouts until many of the streams there have paused for longer, and again when
+// Pattern: streams with a longer objective for pauses. They share engines with long
+// prompts until many of the streams there have paused for longer, and again when
 // few do.
 func TestRiskOfPausesIsLearned(t *testing.T) {
 	c := mixedChooser(9)
 	var n tickets
 	observe := func(streams int, longest time.Duration) {
 		for range streams {
-			c.Choose(start, layout(n.next()))
+			c.Choose(start, longPrompt(n.next()))
 			c.Step(start, balancer.Started{Ticket: n.last})
 			c.Step(start, balancer.Paused{Ticket: n.last, Longest: longest})
 			c.Step(start, balancer.Ended{Ticket: n.last})
@@ -120,7 +120,7 @@
 	for i := range 24 {
 		r := quick(n.next(), middlePause)
 		r.Objective, r.Urgency = 800*time.Millisecond, 1
-		r.Parts = []balancer.Part{{Name: fmt.Sprint("explain", i), Tokens: 4000}}
+		r.Parts = []balancer.Part{{Name: fmt.Sprint("middle", i), Tokens: 4000}}
 		got, _ := c.Choose(start, r)
 		waiting[got.Upstream] += got.Prefill
 	}
@@ -155,7 +155,7 @@
 	c.Choose(start, quick(n.next(), quickPause))
 	c.Step(start, balancer.Started{Ticket: n.last})
 	for range 60 {
-		got, refusal := c.Choose(start, layout(n.next()))
+		got, refusal := c.Choose(start, longPrompt(n.next()))
 		if refusal == balancer.Chosen {
 			used[got.Upstream] = true
 		}
@@ -168,11 +168,11 @@
 // Pattern: as many long prompts as the engines can read, and engines on which no
 // stream pauses for long. Streams with the tightest objective share the engines with
 // the prompts while these wait, and are kept apart when they don't.
-func TestStreamsNotAtRiskGiveWayToWaitingBulk(t *testing.T) {
+func TestStreamsNotAtRiskShareEnginesWithWaitingBulk(t *testing.T) {
 	c := mixedChooser(9)
 	var n tickets
 	for range 200 {
-		c.Choose(start, layout(n.next()))
+		c.Choose(start, longPrompt(n.next()))
 		c.Step(start, balancer.Started{Ticket: n.last})
 		c.Step(start, balancer.Paused{Ticket: n.last, Longest: 50 * time.Millisecond})
 		c.Step(start, balancer.Ended{Ticket: n.last})
@@ -189,7 +189,7 @@
 	}
 	idle := enginesOfStreams()
 	for range 60 {
-		c.Choose(start, layout(n.next()))
+		c.Choose(start, longPrompt(n.next()))
 	}
 	if waiting := enginesOfStreams(); waiting <= idle {
 		t.Errorf("the streams use %d engines while long prompts wait, %d otherwise", waiting, idle)
--- a/router/peers.go
+++ b/router/peers.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// exchangeState exchanges state with one instance, and fetches its copies of tables that
-// are newer than the copies here.
+// exchangeState exchanges state with one instance, and fetches its copies of
+// tables that are newer than the copies here.
 func (r *Router) exchangeState(ctx context.Context, address string) {
 	response, err := r.peers.Swap(ctx, address, r.stateMessage())
 	if err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -144,9 +144,9 @@
 	// quarantined. It is more than 2 because a harmless request that is retried
 	// may be at two upstreams that crash at the same time for another reason.
 	crashLimit = 3
-	// answerMemoryShare is the part of the memory of the process that buffered
-	// answers of upstreams may use.
-	answerMemoryShare = 8
+	// Buffered answers of upstreams may use 1/answerMemoryDivisor of the memory
+	// of the process.
+	answerMemoryDivisor = 8
 	// closeTimeout bounds the graceful shutdown of a listener.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -154,7 +154,7 @@
 // Listen opens the listeners and initializes the router. It must be called
 // before Run.
 func (r *Router) Listen() error {
-	r.forward = &forward.Client{Dialect: r.Dialect, Memory: r.Settings.MemoryBytes / answerMemoryShare}
+	r.forward = &forward.Client{Dialect: r.Dialect, Memory: r.Settings.MemoryBytes / answerMemoryDivisor}
 	r.peers = &exchange.Client{Secret: r.Settings.PeerSecret.Reveal()}
 	r.routes.name, r.upstreams.name = r.Platform.Tables()
 	if err := r.refused.init(); err != nil {
--- a/transport/bound/bound.go
+++ b/transport/bound/bound.go
@@ -19,8 +19,7 @@
 // ErrMemory means that the responses being read use up the memory for them.
 var ErrMemory = errors.New("no memory left for the response")
 
-// Transport is an http.RoundTripper that lets reading a body fail with ErrTooLong
-// behind MaxBytes. Its fields must be set before the first use.
+// Transport is an http.RoundTripper whose bodies return ErrTooLong after MaxBytes. Its fields must be set before the first use.
 type Transport struct {
 	Next     http.RoundTripper
 	MaxBytes int64
@@ -43,7 +42,7 @@
 	left int64
 }
 
-// Read returns ErrTooLong if the body goes on behind its limit.
+// Read returns ErrTooLong if the body is longer than its limit.
 func (b *body) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
--- a/transport/bound/bound_test.go
+++ b/transport/bound/bound_test.go
@@ -36,19 +36,6 @@
 	}
 }
 
-// fill reads r into b until an error, which it returns unless it is io.EOF.
-func fill(b *bound.Buffer, r io.Reader) error {
-	for {
-		_, err := b.Fill(r)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 func TestBuffersShareMemory(t *testing.T) {
 	const limit = 1 << 20
 	memory := &bound.Memory{Limit: 3*limit + 100}
@@ -56,13 +43,13 @@
 	var buffers [4]bound.Buffer
 	for i := range buffers {
 		buffers[i] = bound.Buffer{Memory: memory, Limit: limit}
-		err := fill(&buffers[i], strings.NewReader(text))
+		err := buffers[i].ReadAll(strings.NewReader(text))
 		if wantErr := i == 3; errors.Is(err, bound.ErrMemory) != wantErr {
 			t.Errorf("buffer %d: %v", i, err)
 		}
 	}
 	short := bound.Buffer{Memory: memory, Limit: limit}
-	if err := fill(&short, strings.NewReader(text[:10_000])); err != nil || len(short.Data) != 10_000 {
+	if err := short.ReadAll(strings.NewReader(text[:10_000])); err != nil || len(short.Data) != 10_000 {
 		t.Errorf("a short response: %d bytes, %v", len(short.Data), err)
 	}
 	for i := range buffers {
@@ -85,7 +72,7 @@
 		"over half of the memory": {&bound.Memory{Limit: 100_000}, 50_001, bound.ErrTooLong},
 	} {
 		b := bound.Buffer{Memory: c.memory, Limit: 100_000}
-		if err := fill(&b, iotest.HalfReader(strings.NewReader(strings.Repeat("x", c.length)))); !errors.Is(err, c.err) {
+		if err := b.ReadAll(iotest.HalfReader(strings.NewReader(strings.Repeat("x", c.length)))); !errors.Is(err, c.err) {
 			t.Errorf("%s: %v, want %v", name, err, c.err)
 		}
 	}
--- a/transport/bound/memory.go
+++ b/transport/bound/memory.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -11,8 +13,8 @@
 	// freeBytes of each buffer need no reservation, so that short responses are
 	// read also while long ones use up the memory.
 	freeBytes = 16 << 10
-	// maxShare is the part of the memory that one buffer may use.
-	maxShare = 2
+	// One buffer may use 1/buffersInMemory of the memory.
+	buffersInMemory = 2
 )
 
 // Memory bounds the bytes of responses that are buffered at the same time. A nil
@@ -56,7 +58,7 @@
 // Memory. Memory and Limit must be set before the first read.
 type Buffer struct {
 	Memory *Memory
-	// Limit is the largest length. A buffer also has no more than a part of
+	// Limit is the largest length. A buffer also uses no more than a part of
 	// the memory.
 	Limit int
 	Data  []byte
@@ -77,6 +79,20 @@
 	return n, err
 }
 
+// ReadAll appends everything that r returns. Its errors are those of Fill, apart
+// from io.EOF.
+func (b *Buffer) ReadAll(r io.Reader) error {
+	for {
+		_, err := b.Fill(r)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 func (b *Buffer) grow() error {
 	limit := b.limit()
 	if len(b.Data) > limit {
@@ -101,7 +117,7 @@
 	if b.Memory == nil {
 		return b.Limit
 	}
-	return int(min(int64(b.Limit), b.Memory.Limit/maxShare))
+	return int(min(int64(b.Limit), b.Memory.Limit/buffersInMemory))
 }
 
 // Release drops the bytes and their reservation.
--- a/transport/forward/events.go
+++ b/transport/forward/events.go
@@ -15,10 +15,6 @@
 // longestSeparator is the length in bytes of the longer separator of events.
 const longestSeparator = len("\r\n\r\n")
 
-// eventFields are the names of the fields of which an event has one at least. An
-// empty name marks a comment.
-var eventFields = []string{"id", "data", "event", "retry", ""}
-
 // EventReader reads a stream of server-sent events, one or more whole events at
 // a time. Release must be called after the last call of Next.
 type EventReader struct {
@@ -113,11 +109,12 @@
 	return lastID, fields == 0 || known > 0
 }
 
+// isEventField reports whether an event may have a field of this name. A comment
+// has an empty name.
 func isEventField(name []byte) bool {
-	for _, field := range eventFields {
-		if string(name) == field {
-			return true
-		}
+	switch string(name) {
+	case "id", "data", "event", "retry", "":
+		return true
 	}
 	return false
 }
--- a/transport/forward/events_test.go
+++ b/transport/forward/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -85,15 +86,38 @@
 	}
 }
 
+// eventField matches a line with a field that events have, or a comment.
+const eventField = `^(:|(id|data|event|retry)(:|$))`
+
+// hasBlockWithoutField reports whether lines between blank ones have no field that
+// events have.
+func hasBlockWithoutField(stream string) bool {
+	field := regexp.MustCompile(eventField)
+	lines, fields := 0, 0
+	for line := range strings.SplitSeq(stream+"\n\n", "\n") {
+		line = strings.TrimRight(line, "\r")
+		if line != "" {
+			lines++
+			fields += len(field.FindAllString(line, 1))
+			continue
+		}
+		if lines > 0 && fields == 0 {
+			return true
+		}
+		lines, fields = 0, 0
+	}
+	return false
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
 	f.Add("\r\n\r\n\n\n")
 	f.Fuzz(func(t *testing.T, stream string) {
 		data, _, err := collect(iotest.HalfReader(strings.NewReader(stream)))
 		switch {
-		case errors.Is(err, forward.ErrNotEvents):
-			if !strings.HasPrefix(stream, data) {
-				t.Errorf("%q became %q", stream, data)
+		case hasBlockWithoutField(stream):
+			if !errors.Is(err, forward.ErrNotEvents) || !strings.HasPrefix(stream, data) {
+				t.Errorf("%q became %q, %v", stream, data, err)
 			}
 		case data != stream || !errors.Is(err, io.EOF):
 			t.Errorf("%q became %q, %v", stream, data, err)
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -87,26 +87,26 @@
 
 func (c *Client) sendOver(ctx context.Context, transport *http.Transport, r *call.Request, options call.SendOptions) (*Response, error) {
 	sendCtx, cancel := context.WithCancelCause(ctx)
-	e := exchange{cancel: cancel}
-	raw, err := transport.RoundTrip(c.request(httptrace.WithClientTrace(sendCtx, e.trace()), r, options))
-	e.headEnded()
+	t := roundTrip{cancel: cancel}
+	raw, err := transport.RoundTrip(c.request(httptrace.WithClientTrace(sendCtx, t.trace()), r, options))
+	t.headEnded()
 	if err == nil {
 		raw.Body = &cancellingBody{ReadCloser: raw.Body, cancel: cancel}
-		if !e.answered(c.Dialect.ParseReply(raw), r.ID) {
+		if !t.answered(c.Dialect.ParseReply(raw), r.ID) {
 			_ = raw.Body.Close()
 			// Without a body, the connection may be in the pool by now.
-			_ = e.conn.Close()
+			_ = t.conn.Close()
 			err = ErrMismatchedAnswer
 		}
 	}
 	if err != nil {
-		err = e.classify(err, context.Cause(sendCtx))
+		err = t.classify(err, context.Cause(sendCtx))
 		cancel(nil)
 		return nil, fault.Wrap("send request", options.Address, err)
 	}
 	return &Response{
 		Reply: c.Dialect.ParseReply(raw), Status: raw.StatusCode, Header: raw.Header, Body: raw.Body,
-		whole: bound.Buffer{Memory: c.memory, Limit: maxAnswerBytes},
+		whole: bound.Buffer{Memory: c.memory},
 	}, nil
 }
 
@@ -153,19 +153,12 @@
 // the limit is an error, because a truncated one would look complete to the
 // caller. The bytes may be used until Release.
 func (r *Response) ReadWhole() ([]byte, error) {
-	if r.whole.Limit == 0 {
-		r.whole.Limit = maxAnswerBytes
-	}
-	for {
-		_, err := r.whole.Fill(r.Body)
-		if errors.Is(err, io.EOF) {
-			return r.whole.Data, r.Body.Close()
-		}
-		if err != nil {
-			r.Release()
-			return nil, errors.CombineErrors(err, r.Body.Close())
-		}
+	r.whole.Limit = maxAnswerBytes
+	if err := r.whole.ReadAll(r.Body); err != nil {
+		r.Release()
+		return nil, errors.CombineErrors(err, r.Body.Close())
 	}
+	return r.whole.Data, r.Body.Close()
 }
 
 // Events returns a reader of the events of the answer.
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -216,7 +216,7 @@
 }
 
 // A head that never ends is given up, however slowly it comes.
-func TestDrippingHead(t *testing.T) {
+func TestHeadThatDoesNotEnd(t *testing.T) {
 	stop := make(chan struct{})
 	address := serve(t, func(w io.Writer, _ *http.Request) error {
 		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\n")
@@ -263,7 +263,7 @@
 }
 
 // Discarding an answer does not wait for the rest of its body.
-func TestDiscardOfDrippingBody(t *testing.T) {
+func TestDiscardOfUnfinishedBody(t *testing.T) {
 	stop := make(chan struct{})
 	address := serve(t, func(w io.Writer, _ *http.Request) error {
 		_, err := io.WriteString(w, "HTTP/1.1 503 Full\r\n"+idHeader+": own\r\nContent-Length: 10\r\n\r\nx")
--- a/transport/forward/exchange.go
+++ b/transport/forward/roundtrip.go
@@ -17,8 +17,8 @@
 // connection which could not take them any more.
 var errStaleConnection = errors.New("stale connection")
 
-// exchange follows one request and the head of its answer on a connection.
-type exchange struct {
+// roundTrip follows one request and the head of its answer on a connection.
+type roundTrip struct {
 	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
@@ -29,61 +29,61 @@
 	headTimer *time.Timer
 }
 
-func (e *exchange) trace() *httptrace.ClientTrace {
+func (t *roundTrip) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.conn, _ = info.Conn.(*conn)
-			e.reused = info.Reused
-			e.conn.assign()
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.conn, _ = info.Conn.(*conn)
+			t.reused = info.Reused
+			t.conn.assign()
 		},
 		GotFirstResponseByte: func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.conn.answerBegun()
-			e.stopHeadTimer()
-			e.headTimer = time.AfterFunc(headTimeout, func() { e.cancel(ErrSlowHead) })
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.conn.answerBegun()
+			t.stopHeadTimer()
+			t.headTimer = time.AfterFunc(headTimeout, func() { t.cancel(ErrSlowHead) })
 		},
 	}
 }
 
 // headEnded stops the timer of the head.
-func (e *exchange) headEnded() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stopHeadTimer()
+func (t *roundTrip) headEnded() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopHeadTimer()
 }
 
-// stopHeadTimer stops the timer, if it runs. e.mu must be held.
-func (e *exchange) stopHeadTimer() {
-	if e.headTimer != nil {
-		e.headTimer.Stop()
+// stopHeadTimer stops the timer, if it runs. t.mu must be held.
+func (t *roundTrip) stopHeadTimer() {
+	if t.headTimer != nil {
+		t.headTimer.Stop()
 	}
 }
 
 // answered reports whether a reply belongs to the request. A reply without an id
 // may state that a request did not run, but not on a reused connection, where it
 // may be meant for another request.
-func (e *exchange) answered(reply call.Reply, request id.Request) bool {
-	if e.conn.hasUnsolicited() {
+func (t *roundTrip) answered(reply call.Reply, request id.Request) bool {
+	if t.conn.hasUnsolicited() {
 		return false
 	}
-	return reply.ID == request || reply.ID == "" && reply.NotRun && !e.reused
+	return reply.ID == request || reply.ID == "" && reply.NotRun && !t.reused
 }
 
 // classify marks the error of a request of which nothing was sent with ErrNotSent,
 // and with errStaleConnection if the connection was a reused one. cancelled is why
 // the request was cancelled, if it was.
-func (e *exchange) classify(err, cancelled error) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+func (t *roundTrip) classify(err, cancelled error) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	switch {
-	case e.conn == nil:
+	case t.conn == nil:
 		return errors.Mark(err, ErrNotSent)
-	case e.conn.abandon():
+	case t.conn.abandon():
 		err = errors.Mark(err, ErrNotSent)
-		if e.reused {
+		if t.reused {
 			err = errors.Mark(err, errStaleConnection)
 		}
 	case errors.Is(cancelled, ErrSlowHead):
--- a/transport/service/service.go
+++ b/transport/service/service.go
@@ -12,8 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"samphirehead/coordination/claim"
 	"samphirehead/state/fault"
 	"samphirehead/transport/bound"
@@ -123,13 +121,8 @@
 func (c *Client) readBody(r io.Reader) ([]byte, error) {
 	buffer := bound.Buffer{Memory: &c.memory, Limit: maxAnswerBytes}
 	defer buffer.Release()
-	for {
-		_, err := buffer.Fill(r)
-		if errors.Is(err, io.EOF) {
-			return buffer.Data, nil
-		}
-		if err != nil {
-			return nil, err
-		}
+	if err := buffer.ReadAll(r); err != nil {
+		return nil, err
 	}
+	return buffer.Data, nil
 }
