balancer: count the time of copies in the delay by which engines are compared

Cause: the delay that a run is expected to have was computed in a second place, which lacked the time to copy KV cache. Engines that copy were taken for slower than they are; the factor of bulk delays grew by it, too. Change: one function for both. Result: TestCopyingEngineIsNotSlow fails without it (slowness 7).

--- a/coordination/balancer/chooser.go
+++ b/coordination/balancer/chooser.go
@@ -322,7 +322,7 @@
 	chosen.LoadReports, chosen.ReportAge = c.reportStats(now)
 	c.running[r.Ticket] = &run{
 		upstream: u, parts: r.Parts, prefill: chosen.Prefill, memory: r.memory(), urgency: r.Urgency, kind: chosen.kind,
-		expected: baseDelay + u.prefillTime(chosen.PrefillAhead+chosen.Prefill), chosenAt: now,
+		expected: c.expectedDelay(u, chosen), chosenAt: now,
 	}
 	return chosen, Chosen
 }
--- a/coordination/balancer/copy_test.go
+++ b/coordination/balancer/copy_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,42 @@
 		t.Errorf("copies %d tokens from %q", got.Copied, got.CopyFrom)
 	}
 }
+
+// Pattern: two busy engines with the shared parts, and a third one that copies them
+// over a slow link for each session. The time of the copies is expected, so the third
+// one does not count as slow.
+func TestCopyingEngineIsNotSlow(t *testing.T) {
+	const copyTime, slowLink = time.Second, 6300 * 160_000
+	c := copyingChooser(3, slowLink)
+	busy := map[id.Upstream]balancer.Load{"u00": {Running: 60}, "u01": {Running: 60}}
+	var n tickets
+	now := start
+	run := func(session int, expected time.Duration) balancer.Choice {
+		parts := prompt(session)
+		parts[2].Name = fmt.Sprint("own", n.last)
+		got, _ := c.Choose(now, balancer.Request{Ticket: n.next(), Parts: parts, Objective: 400 * time.Millisecond})
+		c.Step(now.Add(expected), balancer.Started{Ticket: n.last})
+		c.Step(now.Add(expected), balancer.Ended{Ticket: n.last})
+		return got
+	}
+	copies := 0
+	for session := range 60 {
+		now = now.Add(50 * time.Millisecond)
+		c.Step(now, balancer.LoadReceived{Instance: "other"})
+		if got := run(session, 100*time.Millisecond); got.Upstream == "u02" {
+			continue
+		}
+		c.Step(now, balancer.LoadReceived{Instance: "other", Loads: busy})
+		if got := run(session, 100*time.Millisecond+copyTime); got.Copied > 0 {
+			copies++
+		}
+	}
+	if copies < 10 {
+		t.Fatalf("%d runs with copies", copies)
+	}
+	for _, change := range c.HealthChanges() {
+		if change.Health == balancer.Slow {
+			t.Errorf("%s counts as slow: %v", change.Upstream, change.Slowness)
+		}
+	}
+}
--- a/coordination/balancer/engine.go
+++ b/coordination/balancer/engine.go
@@ -61,9 +61,16 @@
 	return best, choice
 }
 
-// expectedStart returns the expected time to the first event of a request.
+// expectedDelay returns the time to the first byte that the work ahead of a request
+// and its own take.
+func (c *Chooser) expectedDelay(u *upstream, choice Choice) time.Duration {
+	return baseDelay + u.prefillTime(choice.PrefillAhead+choice.Prefill) + c.copyTime(choice.Copied)
+}
+
+// expectedStart returns the expected time to the first event of a request. For bulk
+// requests, it allows for the delays that they have had lately.
 func (c *Chooser) expectedStart(u *upstream, choice Choice) time.Duration {
-	expected := baseDelay + u.prefillTime(choice.PrefillAhead+choice.Prefill) + c.copyTime(choice.Copied)
+	expected := c.expectedDelay(u, choice)
 	if choice.kind == bulk {
 		return time.Duration(c.bulkDelayFactor * float64(expected))
 	}
