router: say in logs and metrics how upstreams frame their answers

Broken streams reached callers as if whole. The logs could not tell an answer that ends with its connection from one that ends with its last chunk: answered and stream broken now have the key framing, and counters framing_FRAMING count the answers. No logic changes.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -279,7 +279,7 @@
 	}
 	fields := []any{
 		"request", j.ID, "upstream", a.Upstream,
-		"status", a.response.Status, "attempts", len(j.tried), "after", elapsed, "err", err,
+		"status", a.response.Status, "framing", a.response.Framing, "attempts", len(j.tried), "after", elapsed, "err", err,
 	}
 	if p != nil {
 		firstEvent := p.firstEventAt.Sub(j.arrived)
@@ -289,5 +289,6 @@
 		r.metrics.ObserveTokenGap(observation.Class, p.longestPause)
 	}
 	r.metrics.Observe(observation)
+	r.metrics.Add("framing_"+string(a.response.Framing), 1)
 	klog.InfoS("answered", fields...)
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -32,7 +32,7 @@
 		if upstreamFailed {
 			j.recordCrash(a)
 		}
-		klog.InfoS("stream broken", "request", j.ID, "upstream", a.Upstream, "events", p.events,
+		klog.InfoS("stream broken", "request", j.ID, "upstream", a.Upstream, "framing", a.response.Framing, "events", p.events,
 			"last", p.lastEvent, "caller_lost", p.writeFailed, "after", time.Since(a.sentAt), "err", err)
 		if a = p.resume(ctx, upstreamFailed); a == nil {
 			break
