forward: find the ends of events whatever ends their lines

Cause: an event was whole only before "\n\n" or "\r\n\r\n", while server-sent events may end lines with "\r" too and mix line ends. Such events waited for later ones or the end of the stream, and the id of the last event was wrong, which breaks resumption. It is the ground for taking a stream that ends inside an event for broken: whole events must not look unfinished.

Change: a scanner that passes over each byte once replaces the search for two separators. TestEventIsReturnedAtItsBlankLine and two rows of TestEvents fail before: two of five kinds of events are not returned until the limit of their length.

--- a/transport/forward/events.go
+++ b/transport/forward/events.go
@@ -12,17 +12,13 @@
 // ErrNotEvents means that a stream has bytes that are no server-sent events.
 var ErrNotEvents = errors.New("stream has bytes that are no events")
 
-// longestSeparator is the length in bytes of the longer separator of events.
-const longestSeparator = len("\r\n\r\n")
-
 // EventReader reads a stream of server-sent events, one or more whole events at
 // a time. Release must be called after the last call of Next.
 type EventReader struct {
 	Body io.Reader
 
 	pending bound.Buffer
-	// scanned is the length of the start of pending without a separator.
-	scanned int
+	scanner eventScanner
 	readErr error
 }
 
@@ -34,7 +30,7 @@
 func (e *EventReader) Next() (data []byte, lastID string, err error) {
 	e.pending.Limit = maxEventBytes
 	for {
-		if length := e.completeEvents(); length > 0 {
+		if length := e.scanner.scan(e.pending.Data); length > 0 {
 			return e.take(length)
 		}
 		if e.readErr != nil {
@@ -62,7 +58,7 @@
 func (e *EventReader) take(length int) (data []byte, lastID string, err error) {
 	data = append([]byte(nil), e.pending.Data[:length]...)
 	e.pending.Data = append(e.pending.Data[:0], e.pending.Data[length:]...)
-	e.scanned = len(e.pending.Data)
+	e.scanner.scanned = len(e.pending.Data)
 	lastID, ok := parseEvents(data)
 	if !ok {
 		return nil, "", ErrNotEvents
@@ -70,26 +66,11 @@
 	return data, lastID, nil
 }
 
-// completeEvents returns the length of the complete events at the start of
-// pending.
-func (e *EventReader) completeEvents() int {
-	from := max(e.scanned-longestSeparator+1, 0)
-	e.scanned = len(e.pending.Data)
-	length := 0
-	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.LastIndex(e.pending.Data[from:], []byte(separator)); i >= 0 {
-			length = max(length, from+i+len(separator))
-		}
-	}
-	return length
-}
-
 // parseEvents returns the id of the last event in data that has one, and reports
 // whether each event has a field that events have.
 func parseEvents(data []byte) (lastID string, ok bool) {
 	fields, known := 0, 0
-	for line := range bytes.Lines(data) {
-		line = bytes.TrimRight(line, "\r\n")
+	for line := range lines(data) {
 		if len(line) == 0 {
 			if fields > 0 && known == 0 {
 				return "", false
--- a/transport/forward/events_test.go
+++ b/transport/forward/events_test.go
@@ -37,6 +37,8 @@
 	}{
 		"whole":                        {two, io.EOF, two, "2"},
 		"carriage returns":             {"id: 7\r\ndata: a\r\n\r\n", io.EOF, "id: 7\r\ndata: a\r\n\r\n", "7"},
+		"only carriage returns":        {"id: 7\rdata: a\r\rid: 8\rdata: b\r\r", io.EOF, "id: 7\rdata: a\r\rid: 8\rdata: b\r\r", "8"},
+		"mixed line ends":              {"id: 7\rdata: a\n\r\n\nid: 8\r\n\r", io.EOF, "id: 7\rdata: a\n\r\n\nid: 8\r\n\r", "8"},
 		"connection reset in an event": {two + "id: 3\nda", resetErr, two, "2"},
 		"truncated in an event":        {two + "id: 3\nda", io.ErrUnexpectedEOF, two, "2"},
 		"no blank line at the end":     {two + "data: end", io.EOF, two + "data: end", "2"},
@@ -55,6 +57,19 @@
 	}
 }
 
+// Guards against whole events that wait for the next ones: an event is returned as
+// soon as its blank line is there, whatever bytes end its lines.
+func TestEventIsReturnedAtItsBlankLine(t *testing.T) {
+	for _, event := range []string{
+		"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\rdata: a\r\r", "id: 1\ndata: a\n\r\n", "id: 1\r\ndata: a\n\n",
+	} {
+		events := forward.EventReader{Body: io.MultiReader(strings.NewReader(event), endlessReader{})}
+		if data, lastID, err := events.Next(); string(data) != event || lastID != "1" || err != nil {
+			t.Errorf("%q became %q, id %q, %v", event, data, lastID, err)
+		}
+	}
+}
+
 // Bytes with separators of events but no fields are rejected. What comes before
 // them is returned.
 func TestBytesThatAreNoEvents(t *testing.T) {
@@ -89,13 +104,17 @@
 // eventField matches a line with a field that events have, or a comment.
 const eventField = `^(:|(id|data|event|retry)(:|$))`
 
+// withNewlines returns a stream whose lines all end with "\n".
+func withNewlines(stream string) string {
+	return strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(stream)
+}
+
 // hasBlockWithoutField reports whether lines between blank ones have no field that
 // events have.
 func hasBlockWithoutField(stream string) bool {
 	field := regexp.MustCompile(eventField)
 	lines, fields := 0, 0
-	for line := range strings.SplitSeq(stream+"\n\n", "\n") {
-		line = strings.TrimRight(line, "\r")
+	for line := range strings.SplitSeq(withNewlines(stream)+"\n\n", "\n") {
 		if line != "" {
 			lines++
 			fields += len(field.FindAllString(line, 1))
