forward: take a stream that ends inside an event for broken

Cause: EventReader.flush returned what was left at the end of the bytes as the last event. With a length or chunks, net/http reports an early end; an answer with neither ends with its connection, and there a crash looks like the end. A crash before the first event passed as an empty stream in the same way.

Why this works: the end of a connection proves nothing, the blank line after an event does. A stream is whole only outside an event, and without a length or chunks only after an event. Else it is io.ErrUnexpectedEOF, the same as an early end of chunks: a 502 before the first event, otherwise a resumption or an aborted connection.

--- a/transport/forward/events.go
+++ b/transport/forward/events.go
@@ -16,17 +16,21 @@
 // a time. Release must be called after the last call of Next.
 type EventReader struct {
 	Body io.Reader
+	// Unframed is set if only the end of Body marks the end of the stream.
+	Unframed bool
 
 	pending bound.Buffer
 	scanner eventScanner
 	readErr error
+	// returned is set once bytes have been returned.
+	returned bool
 }
 
 // Next returns the bytes of one or more whole events, and the id of the last of
 // them that has an id. It returns io.EOF after the last event, bound.ErrTooLong for
-// an event that is too long, and ErrNotEvents for bytes that are no event. If the
-// stream ends without a final blank line, the remaining bytes are returned as its
-// last event. If the stream breaks, they are dropped.
+// an event that is too long, and ErrNotEvents for bytes that are no event. It returns
+// io.ErrUnexpectedEOF if the stream ends inside an event, or if it is unframed and has
+// no event: it has been broken off. The bytes of a partial event are dropped.
 func (e *EventReader) Next() (data []byte, lastID string, err error) {
 	e.pending.Limit = maxEventBytes
 	for {
@@ -47,9 +51,16 @@
 // Release drops the buffered bytes.
 func (e *EventReader) Release() { e.pending.Release() }
 
+// flush returns the blank lines after the last event, and then why there are no
+// further events.
 func (e *EventReader) flush() (data []byte, lastID string, err error) {
-	if !errors.Is(e.readErr, io.EOF) || len(e.pending.Data) == 0 {
+	switch {
+	case !errors.Is(e.readErr, io.EOF):
 		return nil, "", e.readErr
+	case e.scanner.inEvent, e.Unframed && !e.returned:
+		return nil, "", io.ErrUnexpectedEOF
+	case len(e.pending.Data) == 0:
+		return nil, "", io.EOF
 	}
 	return e.take(len(e.pending.Data))
 }
@@ -59,6 +70,7 @@
 	data = append([]byte(nil), e.pending.Data[:length]...)
 	e.pending.Data = append(e.pending.Data[:0], e.pending.Data[length:]...)
 	e.scanner.scanned = len(e.pending.Data)
+	e.returned = true
 	lastID, ok := parseEvents(data)
 	if !ok {
 		return nil, "", ErrNotEvents
--- a/transport/forward/events_test.go
+++ b/transport/forward/events_test.go
@@ -31,7 +31,8 @@
 	const two = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	resetErr := errors.New("reset")
 	for name, c := range map[string]struct {
-		stream       string
+		stream string
+		// end is the error of reading the stream after its last byte.
 		end          error
 		data, lastID string
 	}{
@@ -41,7 +42,10 @@
 		"mixed line ends":              {"id: 7\rdata: a\n\r\n\nid: 8\r\n\r", io.EOF, "id: 7\rdata: a\n\r\n\nid: 8\r\n\r", "8"},
 		"connection reset in an event": {two + "id: 3\nda", resetErr, two, "2"},
 		"truncated in an event":        {two + "id: 3\nda", io.ErrUnexpectedEOF, two, "2"},
-		"no blank line at the end":     {two + "data: end", io.EOF, two + "data: end", "2"},
+		"ended in an event":            {two + "id: 3\nda", io.EOF, two, "2"},
+		"ended before the blank line":  {two + "id: 3\ndata: c\n", io.EOF, two, "2"},
+		"ended after text":             {"rest", io.EOF, "", ""},
+		"blank lines at the end":       {two + "\n\r\n", io.EOF, two + "\n\r\n", "2"},
 		"event without id":             {two + "data: c\n\n", io.EOF, two + "data: c\n\n", "2"},
 		"empty":                        {"", io.EOF, "", ""},
 	} {
@@ -50,13 +54,32 @@
 			"byte by byte": iotest.OneByteReader(io.MultiReader(strings.NewReader(c.stream), iotest.ErrReader(c.end))),
 		} {
 			data, lastID, err := collect(reader)
-			if data != c.data || lastID != c.lastID || !errors.Is(err, c.end) {
+			want := c.end
+			if c.data != c.stream && errors.Is(c.end, io.EOF) {
+				want = io.ErrUnexpectedEOF
+			}
+			if data != c.data || lastID != c.lastID || !errors.Is(err, want) {
 				t.Errorf("%s, %s: %q, last id %q, %v", name, mode, data, lastID, err)
 			}
 		}
 	}
 }
 
+// Guards against an answer that broke off after its head being taken for an empty
+// stream: without a length or chunks, only an event shows that it is whole.
+func TestUnframedStreamHasAnEvent(t *testing.T) {
+	for stream, want := range map[string]error{"": io.ErrUnexpectedEOF, "\n": io.ErrUnexpectedEOF, "data: a\n\n": io.EOF} {
+		events := forward.EventReader{Body: strings.NewReader(stream), Unframed: true}
+		var err error
+		for err == nil {
+			_, _, err = events.Next()
+		}
+		if !errors.Is(err, want) {
+			t.Errorf("%q: %v, want %v", stream, err, want)
+		}
+	}
+}
+
 // Guards against whole events that wait for the next ones: an event is returned as
 // soon as its blank line is there, whatever bytes end its lines.
 func TestEventIsReturnedAtItsBlankLine(t *testing.T) {
@@ -77,7 +100,6 @@
 	for name, stream := range map[string]string{
 		"text":            "not found\n\n",
 		"answer":          "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n",
-		"at the end":      "rest",
 		"after an event":  event + "text\n\n",
 		"before an event": "text\n\n" + event,
 	} {
@@ -128,16 +150,36 @@
 	return false
 }
 
+// splitAtLastEvent returns the lines of a stream up to the blank line after its last
+// event, and those after it.
+func splitAtLastEvent(stream string) (events, rest string) {
+	stream = withNewlines(stream)
+	end := strings.LastIndex(stream, "\n\n")
+	if end < 0 {
+		return "", stream
+	}
+	return stream[:end], stream[end:]
+}
+
+// blankLines are the bytes of lines without content.
+const blankLines = "\r\n"
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
 	f.Add("\r\n\r\n\n\n")
 	f.Fuzz(func(t *testing.T, stream string) {
 		data, _, err := collect(iotest.HalfReader(strings.NewReader(stream)))
+		events, rest := splitAtLastEvent(stream)
 		switch {
-		case hasBlockWithoutField(stream):
+		case hasBlockWithoutField(events):
 			if !errors.Is(err, forward.ErrNotEvents) || !strings.HasPrefix(stream, data) {
 				t.Errorf("%q became %q, %v", stream, data, err)
 			}
+		case strings.Trim(rest, blankLines) != "":
+			whole := strings.TrimRight(withNewlines(data), blankLines) == strings.TrimRight(events, blankLines)
+			if !errors.Is(err, io.ErrUnexpectedEOF) || !strings.HasPrefix(stream, data) || !whole {
+				t.Errorf("%q became %q, %v", stream, data, err)
+			}
 		case data != stream || !errors.Is(err, io.EOF):
 			t.Errorf("%q became %q, %v", stream, data, err)
 		}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -187,7 +187,7 @@
 
 // Events returns a reader of the events of the answer.
 func (r *Response) Events() *EventReader {
-	return &EventReader{Body: r.Body, pending: bound.Buffer{Memory: r.whole.Memory}}
+	return &EventReader{Body: r.Body, Unframed: r.Framing == Connection, pending: bound.Buffer{Memory: r.whole.Memory}}
 }
 
 // Release drops the bytes that ReadWhole returned.
