router: reset the connections of HTTP/1.0 callers whose streams break

Found in the search for further ends of connections that pass for ends of answers. A caller that speaks HTTP/1.0 gets no chunks; its stream ends with its connection. The router closed that in the same way after a whole stream and after a broken one.

Change: a broken stream of such a caller ends with a reset. Callers of HTTP/1.1 see a missing last chunk, as before.

--- a/router/serve.go
+++ b/router/serve.go
@@ -63,14 +63,17 @@
 // job is one caller's request in progress.
 type job struct {
 	*call.Request
-	router    *Router
-	w         http.ResponseWriter
-	route     *routing.Route
-	workspace *routing.Workspace
-	service   id.Service
-	arrived   time.Time
-	deadline  time.Time
-	digest    id.Fingerprint
+	router *Router
+	w      http.ResponseWriter
+	// chunkedAllowed is set if the caller speaks HTTP/1.1, which marks the end of
+	// a stream with a last chunk.
+	chunkedAllowed bool
+	route          *routing.Route
+	workspace      *routing.Workspace
+	service        id.Service
+	arrived        time.Time
+	deadline       time.Time
+	digest         id.Fingerprint
 	// tried holds the upstreams that the request was sent to, in order.
 	tried []id.Upstream
 	// responses holds the answers that are to be released at the end.
@@ -118,7 +121,7 @@
 // admit routes and authenticates a request and reads its body. It returns a
 // reason if the request is refused.
 func (r *Router) admit(w http.ResponseWriter, request *http.Request) (*job, reason) {
-	j := &job{router: r, w: w, arrived: time.Now(), Request: &call.Request{}}
+	j := &job{router: r, w: w, chunkedAllowed: request.ProtoAtLeast(1, 1), arrived: time.Now(), Request: &call.Request{}}
 	table := r.table.Load()
 	if table == nil {
 		return j, noRoutes
--- a/router/stream.go
+++ b/router/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -50,9 +51,32 @@
 		why = timedOut
 	}
 	j.recordEnd(metrics.Unknown, why)
+	p.abort()
+}
+
+// abort ends the caller's connection so that the answer does not look complete. In
+// HTTP/1.0 an answer ends with its connection, so only a reset shows that.
+func (p *progress) abort() {
+	if !p.job.chunkedAllowed {
+		if err := p.reset(); err != nil {
+			klog.ErrorS(err, "connection not reset", "request", p.job.ID)
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// reset closes the caller's connection with a reset.
+func (p *progress) reset() error {
+	connection, _, err := p.control.Hijack()
+	if err != nil {
+		return errors.Wrap(err, "take over the connection")
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	return errors.CombineErrors(err, connection.Close())
+}
+
 // progress is the part of a stream that the caller has received.
 type progress struct {
 	job     *job
