transport: refuse responses of peers and objects that end with their connection

Found in the search for further ends of connections that pass for ends of answers. Half of a response of a peer decodes where it ends between two rows, so a peer that broke off would have given a table without some of its upstreams; half of an object is an object. Our own servers state a length, so only a stranger at a peer's address or a faulty store could cause it.

Change: transport/framing tells how a response marks its end (from transport/forward); transport/bound has FramedOnly, set for peers, and objects are read by the same rule. The store's tables are JSON, of which a part does not decode.

--- a/transport/bound/bound.go
+++ b/transport/bound/bound.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"samphirehead/transport/framing"
 )
 
 // MaxHeaderBytes bounds the head of a response, with all informational responses
@@ -16,13 +18,20 @@
 // ErrTooLong means that the body of a response exceeds its limit.
 var ErrTooLong = errors.New("response too long")
 
+// ErrUnframed means that a response has neither a length nor chunks.
+var ErrUnframed = errors.New("response ends with its connection")
+
 // ErrMemory means that the responses being read use up the memory for them.
 var ErrMemory = errors.New("no memory left for the response")
 
-// Transport is an http.RoundTripper whose bodies return ErrTooLong after MaxBytes. Its fields must be set before the first use.
+// Transport is an http.RoundTripper whose bodies return ErrTooLong after MaxBytes. Its
+// fields must be set before the first use.
 type Transport struct {
 	Next     http.RoundTripper
 	MaxBytes int64
+	// FramedOnly makes RoundTrip return ErrUnframed for a response of which a part
+	// would look complete.
+	FramedOnly bool
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -31,6 +40,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if t.FramedOnly && framing.Of(response) == framing.Connection {
+		return nil, errors.CombineErrors(ErrUnframed, response.Body.Close())
+	}
 	response.Body = &body{ReadCloser: response.Body, left: t.MaxBytes}
 	return response, nil
 }
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -68,7 +68,7 @@
 
 			MaxResponseHeaderBytes: bound.MaxHeaderBytes,
 		}
-		bounded := &bound.Transport{Next: transport, MaxBytes: maxResponseBytes}
+		bounded := &bound.Transport{Next: transport, MaxBytes: maxResponseBytes, FramedOnly: true}
 		c.http = &http.Client{Transport: &shared.Transport{Secret: c.Secret, Next: bounded}}
 	})
 	return exchange.NewExchangeProtobufClient("http://"+address, c.http)
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -18,6 +18,7 @@
 	"samphirehead/state/fault"
 	"samphirehead/transport/bound"
 	"samphirehead/transport/dial"
+	"samphirehead/transport/framing"
 )
 
 const (
@@ -49,29 +50,6 @@
 // ErrSlowHead is the cause of the error for an answer whose head does not end.
 var ErrSlowHead = errors.New("head of the answer does not end")
 
-// Framing is how an upstream marks the end of an answer.
-type Framing string
-
-// The framings of HTTP/1.1.
-const (
-	// Length is a Content-Length.
-	Length Framing = "length"
-	// Chunked is a chunked transfer encoding.
-	Chunked Framing = "chunked"
-	// Connection is the end of the connection, for lack of the others.
-	Connection Framing = "connection"
-)
-
-func framingOf(r *http.Response) Framing {
-	switch {
-	case r.ContentLength >= 0:
-		return Length
-	case len(r.TransferEncoding) > 0:
-		return Chunked
-	}
-	return Connection
-}
-
 // Client sends requests to upstreams. Set the exported fields before first use.
 // It is safe for concurrent use.
 type Client struct {
@@ -92,7 +70,7 @@
 	call.Reply
 	Status  int
 	Header  http.Header
-	Framing Framing
+	Framing framing.Framing
 	Body    io.ReadCloser
 
 	whole bound.Buffer
@@ -129,7 +107,7 @@
 		return nil, fault.Wrap("send request", options.Address, err)
 	}
 	return &Response{
-		Reply: c.Dialect.ParseReply(raw), Status: raw.StatusCode, Header: raw.Header, Framing: framingOf(raw), Body: raw.Body,
+		Reply: c.Dialect.ParseReply(raw), Status: raw.StatusCode, Header: raw.Header, Framing: framing.Of(raw), Body: raw.Body,
 		whole: bound.Buffer{Memory: c.memory},
 	}, nil
 }
@@ -187,7 +165,7 @@
 
 // Events returns a reader of the events of the answer.
 func (r *Response) Events() *EventReader {
-	return &EventReader{Body: r.Body, Unframed: r.Framing == Connection, pending: bound.Buffer{Memory: r.whole.Memory}}
+	return &EventReader{Body: r.Body, Unframed: r.Framing == framing.Connection, pending: bound.Buffer{Memory: r.whole.Memory}}
 }
 
 // Release drops the bytes that ReadWhole returned.
--- a/transport/peer/clients.go
+++ b/transport/peer/clients.go
@@ -115,7 +115,7 @@
 	if c.Wrap != nil {
 		roundTripper = c.Wrap(roundTripper)
 	}
-	roundTripper = &bound.Transport{Next: roundTripper, MaxBytes: maxResponseBytes}
+	roundTripper = &bound.Transport{Next: roundTripper, MaxBytes: maxResponseBytes, FramedOnly: true}
 	roundTripper = &secret.Transport{Secret: c.Secret, Next: roundTripper}
 	c.httpClient = &http.Client{Transport: roundTripper, Timeout: callTimeout}
 }
--- a/transport/platform/client_test.go
+++ b/transport/platform/client_test.go
@@ -214,3 +214,20 @@
 		t.Fatalf("got %q, %v", body, err)
 	}
 }
+
+// Guards against part of an object being taken for a whole one: the store broke off a
+// response without a length or chunks.
+func TestUnframedObjectIsRejected(t *testing.T) {
+	client := newClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\nthe first half")
+		_ = connection.Close()
+	})
+	if body, err := client.GetObject(t.Context(), "a"); err == nil {
+		t.Errorf("part of an object is taken as %q", body)
+	}
+}
--- a/transport/platform/object.go
+++ b/transport/platform/object.go
@@ -13,6 +13,8 @@
 
 	"samphirehead/state/fault"
 	"samphirehead/state/id"
+	"samphirehead/transport/bound"
+	"samphirehead/transport/framing"
 )
 
 const (
@@ -71,12 +73,16 @@
 type bytesDecoder struct{}
 
 // Decode reads the body of r into v, which must be a *[]byte. It returns an error
-// if the body is larger than maxObjectBytes.
+// if the body is larger than maxObjectBytes, and bound.ErrUnframed if a part of it
+// would look complete.
 func (bytesDecoder) Decode(r *http.Response, v any) error {
 	dst, ok := v.(*[]byte)
 	if !ok {
 		return errors.Newf("cannot decode into %T", v)
 	}
+	if framing.Of(r) == framing.Connection {
+		return bound.ErrUnframed
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxObjectBytes+1))
 	if err != nil {
 		return err
