router: log the shared parts of prompts whose streams break

Engines ended one after the other under requests that are no two alike. The log could not say what the requests had in common. No logic changes.

--- a/router/serve.go
+++ b/router/serve.go
@@ -277,6 +277,16 @@
 	return j.route.Name
 }
 
+// sharedParts returns the names of the parts of the prompt that other requests may
+// have, too. The last part belongs to the request.
+func (j *job) sharedParts() []string {
+	var names []string
+	for i := range len(j.Parts) - 1 {
+		names = append(names, j.Parts[i].Name)
+	}
+	return names
+}
+
 // lastTried returns the upstream that the request was last sent to, or "" if it
 // was sent to none.
 func (j *job) lastTried() id.Upstream {
--- a/router/stream.go
+++ b/router/stream.go
@@ -34,7 +34,7 @@
 			j.recordCrash(a)
 		}
 		klog.InfoS("stream broken", "request", j.ID, "upstream", a.Upstream, "framing", a.response.Framing, "events", p.events,
-			"last", p.lastEvent, "caller_lost", p.writeFailed, "after", time.Since(a.sentAt), "err", err)
+			"last", p.lastEvent, "caller_lost", p.writeFailed, "after", time.Since(a.sentAt), "parts", j.sharedParts(), "err", err)
 		if a = p.resume(ctx, upstreamFailed); a == nil {
 			break
 		}
