quarantine: find the parts of prompts that crash upstreams

Cause: a quarantine was keyed by the digest of the whole request. Requests that share only a part of their prompts counted one or two crashes each, of three.

Why this works: such a part is the one suspect that is at each crash and whose answers never begin. Its crashes, 300 ms or more apart and without a beginning in between, quarantine it after three; a sound part is cleared by its next answer, here or at a peer. Crashes and clearances are relayed, so that instances far apart count the same.

--- /dev/null
+++ b/coordination/quarantine/parts_test.go
@@ -0,0 +1,140 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"samphirehead/coordination/quarantine"
+	"samphirehead/state/id"
+)
+
+const (
+	separation = 300 * time.Millisecond
+	// part is the fingerprint of a part that requests share.
+	part id.Fingerprint = 7
+)
+
+func newPartTracker() *quarantine.Tracker {
+	return &quarantine.Tracker{CrashLimit: 3, Separation: separation}
+}
+
+// at returns the time that is so many milliseconds after start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// partCrash is a crash of an upstream under a request with the part.
+func partCrash(upstream int) quarantine.Crashed {
+	return crash(id.Upstream(fmt.Sprint("e", upstream)), quarantine.InFlight{Request: id.Request(fmt.Sprint(upstream)), Fingerprint: part})
+}
+
+func partRecord(upstream, ms int) quarantine.Record {
+	return quarantine.Record{Fingerprint: part, Upstream: id.Upstream(fmt.Sprint("e", upstream)), Request: id.Request(fmt.Sprint(upstream)), At: at(ms)}
+}
+
+// Guards against both faults of a quarantine of parts: one that starts late under a
+// part that crashes upstreams, and one of a part that was only nearby.
+func TestQuarantineOfParts(t *testing.T) {
+	type step struct {
+		ms    int
+		event quarantine.Event
+	}
+	received := func(records ...quarantine.Record) quarantine.Event {
+		return quarantine.RecordsReceived{Records: records}
+	}
+	cleared := func(ms int) quarantine.Event {
+		return quarantine.ClearancesReceived{Clearances: []quarantine.Clearance{{Fingerprint: part, At: at(ms)}}}
+	}
+	for name, c := range map[string]struct {
+		steps []step
+		want  quarantine.Verdict
+	}{
+		"crashes one after the other": {[]step{{0, partCrash(1)}, {300, partCrash(2)}, {600, partCrash(3)}}, quarantine.Quarantined},
+		"many upstreams crash at once": {[]step{
+			{0, partCrash(1)}, {10, partCrash(2)}, {20, partCrash(3)}, {250, partCrash(4)}, {290, partCrash(5)}}, quarantine.Suspected},
+		"many upstreams crash at once, twice": {[]step{
+			{0, partCrash(1)}, {10, partCrash(2)}, {5000, partCrash(3)}, {5010, partCrash(4)}}, quarantine.Suspected},
+		"an answer between the crashes": {[]step{
+			{0, partCrash(1)}, {300, partCrash(2)}, {400, quarantine.Completed{Fingerprint: part}}, {600, partCrash(3)}}, quarantine.Suspected},
+		"an answer at another instance between the crashes": {[]step{
+			{0, partCrash(1)}, {300, partCrash(2)}, {600, cleared(400)}, {610, partCrash(3)}}, quarantine.Suspected},
+		"an answer at another instance before the crashes": {[]step{
+			{0, partCrash(1)}, {300, partCrash(2)}, {550, cleared(-100)}, {600, partCrash(3)}}, quarantine.Quarantined},
+		"a late report of a crash before an answer": {[]step{
+			{0, partCrash(1)}, {300, partCrash(2)}, {400, quarantine.Completed{Fingerprint: part}}, {500, received(partRecord(8, -400), partRecord(9, 350))},
+			{600, partCrash(3)}, {900, partCrash(4)}}, quarantine.Suspected},
+		"crashes at several instances": {[]step{
+			{0, partCrash(1)}, {700, received(partRecord(2, 300), partRecord(3, 600))}}, quarantine.Quarantined},
+		"an answer does not end a quarantine": {[]step{
+			{0, partCrash(1)}, {300, partCrash(2)}, {600, partCrash(3)}, {700, cleared(650)}, {710, quarantine.Completed{Fingerprint: part}}}, quarantine.Quarantined},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newPartTracker()
+			var now time.Time
+			for _, s := range c.steps {
+				now = at(s.ms)
+				tracker.Step(now, s.event)
+			}
+			if got := tracker.Verdict(now, part); got != c.want {
+				t.Errorf("verdict %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// Whatever an instance knows already, a report of three crashes starts its quarantine,
+// too.
+func TestReportStartsQuarantineWhateverIsKnown(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // a test
+		tracker := newPartTracker()
+		step := func(r quarantine.Record) {
+			tracker.Step(at(1000), quarantine.RecordsReceived{Records: []quarantine.Record{r}})
+		}
+		for i := range random.IntN(20) {
+			step(partRecord(10+i, random.IntN(900)))
+		}
+		for i := range 3 {
+			step(partRecord(i, 300*i))
+		}
+		if got := tracker.Verdict(at(1000), part); got != quarantine.Quarantined {
+			t.Errorf("seed %d: verdict %s", seed, got)
+		}
+	}
+}
+
+// Reports reach instances to which the one that saw the crash or the answer does not
+// speak.
+func TestReportsAreRelayed(t *testing.T) {
+	const maxAge, limit = 30 * time.Second, 32
+	seen, relay, far := newPartTracker(), newPartTracker(), newPartTracker()
+	exchange := func(from, to *quarantine.Tracker, now time.Time) {
+		records, clearances := from.Reports(now, maxAge, limit)
+		to.Step(now, quarantine.RecordsReceived{Records: records})
+		to.Step(now, quarantine.ClearancesReceived{Clearances: clearances})
+	}
+	spread := func(now time.Time) {
+		exchange(seen, relay, now)
+		exchange(relay, far, now)
+	}
+	seen.Step(at(0), partCrash(1))
+	spread(at(0))
+	if got := far.Verdict(at(0), part); got != quarantine.Suspected {
+		t.Errorf("verdict %s after a crash", got)
+	}
+	seen.Step(at(100), quarantine.Completed{Fingerprint: part})
+	spread(at(100))
+	if got := far.Verdict(at(100), part); got != quarantine.Clear {
+		t.Errorf("verdict %s after an answer", got)
+	}
+	for i := range 3 {
+		seen.Step(at(1000+300*i), partCrash(2+i))
+	}
+	spread(at(2000))
+	if got := far.Verdict(at(2000), part); got != quarantine.Quarantined {
+		t.Errorf("verdict %s after three crashes", got)
+	}
+	if records, _ := seen.Reports(at(40_000), maxAge, limit); len(records) > 0 {
+		t.Errorf("%d old records are reported", len(records))
+	}
+}
--- /dev/null
+++ b/coordination/quarantine/reports.go
@@ -0,0 +1,88 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"samphirehead/state/id"
+)
+
+// Clearance reports that a request with a fingerprint completed: crashes before that
+// were not caused by it. Instances send clearances to each other.
+type Clearance struct {
+	Fingerprint id.Fingerprint
+	At          time.Time
+}
+
+func (t *Tracker) clearancesReceived(now time.Time, ev ClearancesReceived) {
+	for _, c := range ev.Clearances {
+		if c.Fingerprint == 0 || t.crashCount(now, c.Fingerprint) >= t.crashLimit() {
+			continue
+		}
+		if known, ok := t.completions.Peek(c.Fingerprint); ok && !c.At.After(known) {
+			continue
+		}
+		t.completions.Add(c.Fingerprint, c.At)
+		t.clearances.Add(c.Fingerprint, c.At)
+		t.dropRecordsUntil(c)
+	}
+}
+
+// dropRecordsUntil drops the records of a suspect that are not later than its
+// clearance.
+func (t *Tracker) dropRecordsUntil(c Clearance) {
+	records, ok := t.suspects.Peek(c.Fingerprint)
+	if !ok {
+		return
+	}
+	var later []Record
+	for _, r := range records {
+		if r.At.After(c.At) {
+			later = append(later, r)
+		}
+	}
+	if len(later) == 0 {
+		t.suspects.Remove(c.Fingerprint)
+		return
+	}
+	t.suspects.Add(c.Fingerprint, later)
+}
+
+// Reports returns crash records and clearances that are at most maxAge old, for other
+// instances: at most n of each, those of quarantined fingerprints and the newest
+// first. They include those received from others.
+func (t *Tracker) Reports(now time.Time, maxAge time.Duration, n int) ([]Record, []Clearance) {
+	t.init()
+	var records []Record
+	for _, table := range []*simplelru.LRU[id.Fingerprint, []Record]{t.quarantined, t.suspects} {
+		fingerprints := table.Keys()
+		for i := len(fingerprints) - 1; i >= 0 && len(records) < n; i-- {
+			found, _ := table.Peek(fingerprints[i])
+			records = append(records, youngerThan(maxAge, now, found)...)
+		}
+	}
+	return records[:min(n, len(records))], t.recentClearances(now, maxAge, n)
+}
+
+func youngerThan(maxAge time.Duration, now time.Time, records []Record) []Record {
+	var young []Record
+	for _, r := range records {
+		if now.Sub(r.At) < maxAge {
+			young = append(young, r)
+		}
+	}
+	return young
+}
+
+func (t *Tracker) recentClearances(now time.Time, maxAge time.Duration, n int) []Clearance {
+	var recent []Clearance
+	fingerprints := t.clearances.Keys()
+	for i := len(fingerprints) - 1; i >= 0 && len(recent) < n; i-- {
+		at, _ := t.clearances.Peek(fingerprints[i])
+		if now.Sub(at) < maxAge {
+			recent = append(recent, Clearance{fingerprints[i], at})
+		}
+	}
+	return recent
+}
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -3,12 +3,14 @@
 // All requests in flight at a crash become suspects. After two crashes, unless
 // Tracker.CrashLimit is set, the fingerprint of a request is quarantined. If a
 // request with the fingerprint completes before that, the fingerprint is cleared.
+// A fingerprint may also stand for a part that several requests have.
 // A Tracker is a deterministic state machine: time is passed in with each call.
 package quarantine
 
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"samphirehead/state/id"
@@ -21,6 +23,7 @@
 
 	defaultLifetime        = 30 * time.Minute
 	defaultMaxFingerprints = 8192
+	maxClearances          = 256
 	// sameCrashWindow is the time between two records of an upstream below which
 	// they count as one crash. It is shorter than the shortest ejection of an
 	// upstream, so that an upstream gets no work within it after a crash.
@@ -42,6 +45,9 @@
 	Quarantined Verdict = "quarantined"
 )
 
+// PartFingerprint returns the fingerprint of a part of prompts.
+func PartFingerprint(name string) id.Fingerprint { return id.Fingerprint(xxhash.Sum64String(name)) }
+
 // InFlight is a request that an upstream was running when it crashed.
 type InFlight struct {
 	Request     id.Request
@@ -74,13 +80,18 @@
 // Completed reports that a request was answered completely.
 type Completed struct{ Fingerprint id.Fingerprint }
 
+// ClearancesReceived carries the clearances of another instance. Repeated ones have
+// no effect.
+type ClearancesReceived struct{ Clearances []Clearance }
+
 // VerdictRequested requests the verdict on a fingerprint.
 type VerdictRequested struct{ Fingerprint id.Fingerprint }
 
-func (Crashed) event()          {}
-func (RecordsReceived) event()  {}
-func (Completed) event()        {}
-func (VerdictRequested) event() {}
+func (Crashed) event()            {}
+func (RecordsReceived) event()    {}
+func (Completed) event()          {}
+func (ClearancesReceived) event() {}
+func (VerdictRequested) event()   {}
 
 // Effect is an output of a Tracker.
 type Effect interface{ effect() }
@@ -114,11 +125,16 @@
 	// CrashLimit is the number of crashes that quarantines a fingerprint; 0
 	// means DefaultCrashLimit.
 	CrashLimit int
+	// Separation is how long after a crash the next one counts as a further crash
+	// of a fingerprint. If it is 0, crashes of different upstreams always do.
+	Separation time.Duration
 
 	suspects    *simplelru.LRU[id.Fingerprint, []Record]
 	quarantined *simplelru.LRU[id.Fingerprint, []Record]
 	// completions holds the time at which a request last completed.
-	completions        *simplelru.LRU[id.Fingerprint, time.Time]
+	completions *simplelru.LRU[id.Fingerprint, time.Time]
+	// clearances holds the completions that other instances may need.
+	clearances         *simplelru.LRU[id.Fingerprint, time.Time]
 	quarantinesStarted int
 }
 
@@ -133,6 +149,8 @@
 		return t.recordsReceived(now, ev)
 	case Completed:
 		t.completed(now, ev.Fingerprint)
+	case ClearancesReceived:
+		t.clearancesReceived(now, ev)
 	case VerdictRequested:
 		return []Effect{VerdictResult{ev.Fingerprint, t.Verdict(now, ev.Fingerprint)}}
 	}
@@ -208,6 +226,7 @@
 			continue
 		}
 		if completedAt, ok := t.completions.Peek(r.Fingerprint); ok && !r.At.After(completedAt) {
+			t.clearances.Add(r.Fingerprint, completedAt)
 			continue
 		}
 		effects = append(effects, t.addRecord(now, r)...)
@@ -220,15 +239,11 @@
 	if _, ok := t.quarantined.Get(f); ok && t.crashCount(now, f) >= t.crashLimit() {
 		return nil
 	}
-	t.completions.Remove(f)
 	old, _ := t.suspects.Get(f)
-	records := t.unexpired(now, old)
-	for _, known := range records {
-		if sameCrash(known, r) {
-			return nil
-		}
+	records, ok := t.withRecord(t.unexpired(now, old), r)
+	if !ok {
+		return nil
 	}
-	records = append(records, r)
 	if len(records) < t.crashLimit() {
 		t.suspects.Add(f, records)
 		return nil
@@ -239,22 +254,14 @@
 	return []Effect{Started{f}}
 }
 
-// sameCrash reports whether two records of a fingerprint describe the same crash.
-// They do if the upstream is the same and either the request is, too, or the
-// upstream lost both requests within sameCrashWindow.
-func sameCrash(a, b Record) bool {
-	if a.Upstream != b.Upstream {
-		return false
-	}
-	return a.Request == b.Request || a.At.Sub(b.At).Abs() < sameCrashWindow
-}
-
 func (t *Tracker) completed(now time.Time, f id.Fingerprint) {
 	if f == 0 || t.crashCount(now, f) >= t.crashLimit() {
 		return
 	}
-	t.suspects.Remove(f)
 	t.completions.Add(f, now)
+	if t.suspects.Remove(f) {
+		t.clearances.Add(f, now)
+	}
 }
 
 // crashCount returns the number of crashes of a fingerprint that still count.
@@ -309,4 +316,5 @@
 	t.suspects, _ = simplelru.NewLRU[id.Fingerprint, []Record](limit, nil)
 	t.quarantined, _ = simplelru.NewLRU[id.Fingerprint, []Record](limit, nil)
 	t.completions, _ = simplelru.NewLRU[id.Fingerprint, time.Time](limit, nil)
+	t.clearances, _ = simplelru.NewLRU[id.Fingerprint, time.Time](min(limit, maxClearances), nil)
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -10,7 +10,6 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/balancer"
-	"samphirehead/coordination/quarantine"
 	"samphirehead/protocol/call"
 	"samphirehead/state/id"
 	"samphirehead/state/metrics"
@@ -218,26 +217,6 @@
 	}
 }
 
-// recordCrash records that the upstream gave no complete answer. It may have
-// crashed, and the request may be the cause.
-func (j *job) recordCrash(a *attempt) {
-	r := j.router
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	effects := r.quarantine.Step(time.Now(), quarantine.Crashed{
-		Upstream: a.Upstream,
-		InFlight: []quarantine.InFlight{{Request: j.ID, Fingerprint: j.digest}},
-	})
-	for _, effect := range effects {
-		switch effect := effect.(type) {
-		case quarantine.BroadcastRecords:
-			r.reportedCrashes = append(r.reportedCrashes, effect.Records...)
-		case quarantine.Started:
-			klog.InfoS("quarantined", "request", j.ID, "route", j.route.Name, "upstream", a.Upstream)
-		}
-	}
-}
-
 // deliver forwards an answer to the caller.
 func (j *job) deliver(ctx context.Context, a *attempt) {
 	if a.body == nil && j.route.Streaming && a.response.Status < 300 {
@@ -246,6 +225,9 @@
 	}
 	j.router.stepChooser(j.service, balancer.Started{Ticket: a.ticket})
 	j.router.stepChooser(j.service, balancer.Ended{Ticket: a.ticket})
+	if a.response.Status < 300 {
+		j.clearParts()
+	}
 	j.setHeader(a)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	j.w.WriteHeader(a.response.Status)
@@ -268,9 +250,7 @@
 func (j *job) recordCompletion(a *attempt, p *progress, err error) {
 	r := j.router
 	if a.response.Status < 300 {
-		r.mu.Lock()
-		r.quarantine.Step(time.Now(), quarantine.Completed{Fingerprint: j.digest})
-		r.mu.Unlock()
+		j.clearRequest()
 	}
 	elapsed := time.Since(j.arrived)
 	observation := metrics.Observation{
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -77,7 +77,7 @@
 		RetryBudgets: make(map[id.Service]retryBudget),
 		Upstreams:    len(r.pools.upstreams),
 		Ejected:      make(map[id.Upstream]int64),
-		Quarantines:  r.quarantine.QuarantinesStarted(),
+		Quarantines:  r.quarantines.started(),
 		InFlight:     r.inFlight.Load(),
 		Draining:     r.drain.started(),
 
--- a/router/peers.go
+++ b/router/peers.go
@@ -8,7 +8,6 @@
 
 	"samphirehead/coordination/balancer"
 	"samphirehead/coordination/heartbeat"
-	"samphirehead/coordination/quarantine"
 	"samphirehead/protocol/exchange"
 	"samphirehead/state/id"
 	"samphirehead/state/mirror"
@@ -19,10 +18,6 @@
 	// copy that is older than the peers' is fetched from a peer even if the
 	// platform answers.
 	maxTimesBehind = 2
-	// maxCrashesPerMessage bounds the crash reports in one message to a peer.
-	maxCrashesPerMessage = 32
-	// maxCrashAge is how long a crash is included in messages to peers.
-	maxCrashAge = 30 * time.Second
 	// announceInterval is the interval at which the addresses of announced
 	// instances are read. After a failure the next try follows after
 	// announceRetry.
@@ -184,20 +179,11 @@
 		loads, failing := exchange.LoadReport(c, now)
 		s.Loads, s.Failing = append(s.Loads, loads...), append(s.Failing, failing...)
 	}
-	s.Crashes = r.crashReports(now)
+	r.quarantines.addReports(now, s)
 	s.Refused = r.refused.recent(now)
 	return s
 }
 
-// crashReports drops expired crashes and returns the newest of the others. r.mu
-// must be held.
-func (r *Router) crashReports(now time.Time) []*exchange.Crash {
-	for len(r.reportedCrashes) > 0 && now.Sub(r.reportedCrashes[0].At) > maxCrashAge {
-		r.reportedCrashes = r.reportedCrashes[1:]
-	}
-	return exchange.CrashesToProto(r.reportedCrashes[max(0, len(r.reportedCrashes)-maxCrashesPerMessage):], now)
-}
-
 // receiveState applies the state of another instance.
 func (r *Router) receiveState(s *exchange.State) {
 	if s.GetSelf() == nil {
@@ -218,7 +204,7 @@
 			r.upstreams.peerReachedAt = now
 		}
 	}
-	r.quarantine.Step(now, quarantine.RecordsReceived{Records: exchange.CrashesFromProto(s.Crashes, now)})
+	r.quarantines.receiveReports(now, s)
 }
 
 // receiveLoads passes the loads and the demand of another instance to the
--- a/router/router.go
+++ b/router/router.go
@@ -16,7 +16,6 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/heartbeat"
-	"samphirehead/coordination/quarantine"
 	"samphirehead/coordination/registry"
 	"samphirehead/coordination/retrybudget"
 	"samphirehead/protocol/call"
@@ -90,12 +89,9 @@
 	registry         registry.Registry
 	pools            pools
 	retryBudgets     retrybudget.Budget
-	quarantine       quarantine.Tracker
-	// reportedCrashes holds the crashes observed by this instance that are sent
-	// to peers, the newest last.
-	reportedCrashes []quarantine.Record
-	lastTicket      uint64
-	refused         refusedRequests
+	quarantines      quarantines
+	lastTicket       uint64
+	refused          refusedRequests
 
 	inFlight atomic.Int64
 	drain    drainer
@@ -140,10 +136,6 @@
 	// registryInterval is how often the registry is checked for upstreams that
 	// have expired.
 	registryInterval = 200 * time.Millisecond
-	// crashLimit is how many upstreams a request may crash before it is
-	// quarantined. It is more than 2 because a harmless request that is retried
-	// may be at two upstreams that crash at the same time for another reason.
-	crashLimit = 3
 	// Buffered answers of upstreams may use 1/answerMemoryDivisor of the memory
 	// of the process.
 	answerMemoryDivisor = 8
@@ -160,7 +152,7 @@
 	if err := r.refused.init(); err != nil {
 		return err
 	}
-	r.quarantine.CrashLimit = crashLimit
+	r.quarantines.init()
 	r.applyRetries(r.Settings)
 	r.drain.init(r.Settings.Grace, r.Settings.EntryLifetime)
 	if err := r.listen(); err != nil {
--- a/router/serve.go
+++ b/router/serve.go
@@ -74,6 +74,9 @@
 	arrived        time.Time
 	deadline       time.Time
 	digest         id.Fingerprint
+	// sharedParts are the fingerprints of the parts of the prompt that other requests
+	// may have, too.
+	sharedParts []id.Fingerprint
 	// tried holds the upstreams that the request was sent to, in order.
 	tried []id.Upstream
 	// responses holds the answers that are to be released at the end.
@@ -151,6 +154,9 @@
 		return j, why
 	}
 	j.digest = r.Dialect.Digest(parsed)
+	for _, name := range j.sharedPartNames() {
+		j.sharedParts = append(j.sharedParts, quarantine.PartFingerprint(name))
+	}
 	r.mu.Lock()
 	r.retryBudgets.RecordRequest(j.arrived, j.service)
 	r.mu.Unlock()
@@ -160,14 +166,6 @@
 	return j, ""
 }
 
-// quarantined reports whether requests with the same digest have crashed too
-// many upstreams.
-func (j *job) quarantined() bool {
-	j.router.mu.Lock()
-	defer j.router.mu.Unlock()
-	return j.router.quarantine.Verdict(time.Now(), j.digest) == quarantine.Quarantined
-}
-
 // timeout returns how long the request may take: the shorter of the route's
 // timeout and the caller's budget, or defaultTimeout if neither is set.
 func (j *job) timeout() time.Duration {
@@ -277,16 +275,6 @@
 	return j.route.Name
 }
 
-// sharedParts returns the names of the parts of the prompt that other requests may
-// have, too. The last part belongs to the request.
-func (j *job) sharedParts() []string {
-	var names []string
-	for i := range len(j.Parts) - 1 {
-		names = append(names, j.Parts[i].Name)
-	}
-	return names
-}
-
 // lastTried returns the upstream that the request was last sent to, or "" if it
 // was sent to none.
 func (j *job) lastTried() id.Upstream {
--- a/router/stream.go
+++ b/router/stream.go
@@ -34,7 +34,7 @@
 			j.recordCrash(a)
 		}
 		klog.InfoS("stream broken", "request", j.ID, "upstream", a.Upstream, "framing", a.response.Framing, "events", p.events,
-			"last", p.lastEvent, "caller_lost", p.writeFailed, "after", time.Since(a.sentAt), "parts", j.sharedParts(), "err", err)
+			"last", p.lastEvent, "caller_lost", p.writeFailed, "after", time.Since(a.sentAt), "parts", j.sharedPartNames(), "err", err)
 		if a = p.resume(ctx, upstreamFailed); a == nil {
 			break
 		}
@@ -140,6 +140,7 @@
 func (p *progress) start(a *attempt) {
 	if !a.started {
 		a.started = true
+		p.job.clearParts()
 		if a.Expected > 0 {
 			p.job.router.metrics.ObservePrediction(p.job.service, a.Expected, time.Since(a.sentAt))
 		}
