quarantine: pass quarantines on to instances that start later

Found in the search for further ways in which crashes are forgotten. An instance reported the crashes that it saw for 30 s. One that started later, or was cut off meanwhile, sent on what the others refuse, until it had seen three crashes itself.

Change: each message between peers has a hash of the sender's quarantines; a reply to a peer whose hash differs carries them, at most 32 in random order. Constant bytes while all agree (two hashes). Quarantines end at the same time everywhere.

--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -112,6 +112,7 @@
 		records, clearances := from.Reports(now, maxAge, limit)
 		to.Step(now, quarantine.RecordsReceived{Records: records})
 		to.Step(now, quarantine.ClearancesReceived{Clearances: clearances})
+		to.Step(now, quarantine.QuarantinesReceived{Quarantines: from.Quarantines(now)})
 	}
 	spread := func(now time.Time) {
 		exchange(seen, relay, now)
@@ -134,6 +135,7 @@
 	if got := far.Verdict(at(2000), part); got != quarantine.Quarantined {
 		t.Errorf("verdict %s after three crashes", got)
 	}
+	seen.Step(at(3000), crash("e9", quarantine.InFlight{Request: "r", Fingerprint: 8}))
 	if records, _ := seen.Reports(at(40_000), maxAge, limit); len(records) > 0 {
 		t.Errorf("%d old records are reported", len(records))
 	}
--- a/coordination/quarantine/reports.go
+++ b/coordination/quarantine/reports.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-
 	"samphirehead/state/id"
 )
 
@@ -49,18 +47,49 @@
 	t.suspects.Add(c.Fingerprint, later)
 }
 
-// Reports returns crash records and clearances that are at most maxAge old, for other
-// instances: at most n of each, those of quarantined fingerprints and the newest
-// first. They include those received from others.
+// Quarantine is a fingerprint whose requests are refused. Instances send quarantines
+// to each other.
+type Quarantine struct {
+	Fingerprint id.Fingerprint
+	// At is the time of the last crash that counted.
+	At time.Time
+}
+
+func (t *Tracker) quarantinesReceived(now time.Time, ev QuarantinesReceived) []Effect {
+	var effects []Effect
+	for _, q := range ev.Quarantines {
+		known := t.crashCount(now, q.Fingerprint) >= t.crashLimit()
+		if q.Fingerprint == 0 || known || now.Sub(q.At) >= t.lifetime() {
+			continue
+		}
+		effects = append(effects, t.quarantine(q.Fingerprint, []Record{{Fingerprint: q.Fingerprint, At: q.At}})...)
+	}
+	return effects
+}
+
+// Quarantines returns all quarantines at now.
+func (t *Tracker) Quarantines(now time.Time) []Quarantine {
+	t.init()
+	var all []Quarantine
+	for _, f := range t.quarantined.Keys() {
+		records, _ := t.quarantined.Peek(f)
+		if records = t.unexpired(now, records); len(records) > 0 {
+			all = append(all, Quarantine{f, records[len(records)-1].At})
+		}
+	}
+	return all
+}
+
+// Reports returns crash records of suspects and clearances that are at most maxAge
+// old, for other instances: at most n of each, the newest first. They include those
+// received from others.
 func (t *Tracker) Reports(now time.Time, maxAge time.Duration, n int) ([]Record, []Clearance) {
 	t.init()
 	var records []Record
-	for _, table := range []*simplelru.LRU[id.Fingerprint, []Record]{t.quarantined, t.suspects} {
-		fingerprints := table.Keys()
-		for i := len(fingerprints) - 1; i >= 0 && len(records) < n; i-- {
-			found, _ := table.Peek(fingerprints[i])
-			records = append(records, youngerThan(maxAge, now, found)...)
-		}
+	fingerprints := t.suspects.Keys()
+	for i := len(fingerprints) - 1; i >= 0 && len(records) < n; i-- {
+		found, _ := t.suspects.Peek(fingerprints[i])
+		records = append(records, youngerThan(maxAge, now, found)...)
 	}
 	return records[:min(n, len(records))], t.recentClearances(now, maxAge, n)
 }
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -84,14 +84,19 @@
 // no effect.
 type ClearancesReceived struct{ Clearances []Clearance }
 
+// QuarantinesReceived carries the quarantines of another instance. Repeated ones have
+// no effect.
+type QuarantinesReceived struct{ Quarantines []Quarantine }
+
 // VerdictRequested requests the verdict on a fingerprint.
 type VerdictRequested struct{ Fingerprint id.Fingerprint }
 
-func (Crashed) event()            {}
-func (RecordsReceived) event()    {}
-func (Completed) event()          {}
-func (ClearancesReceived) event() {}
-func (VerdictRequested) event()   {}
+func (Crashed) event()             {}
+func (RecordsReceived) event()     {}
+func (Completed) event()           {}
+func (ClearancesReceived) event()  {}
+func (QuarantinesReceived) event() {}
+func (VerdictRequested) event()    {}
 
 // Effect is an output of a Tracker.
 type Effect interface{ effect() }
@@ -151,6 +156,8 @@
 		t.completed(now, ev.Fingerprint)
 	case ClearancesReceived:
 		t.clearancesReceived(now, ev)
+	case QuarantinesReceived:
+		return t.quarantinesReceived(now, ev)
 	case VerdictRequested:
 		return []Effect{VerdictResult{ev.Fingerprint, t.Verdict(now, ev.Fingerprint)}}
 	}
@@ -248,6 +255,10 @@
 		t.suspects.Add(f, records)
 		return nil
 	}
+	return t.quarantine(f, records)
+}
+
+func (t *Tracker) quarantine(f id.Fingerprint, records []Record) []Effect {
 	t.suspects.Remove(f)
 	t.quarantined.Add(f, records)
 	t.quarantinesStarted++
@@ -271,7 +282,7 @@
 	}
 	if records, ok := t.quarantined.Peek(f); ok {
 		if n := len(t.unexpired(now, records)); n > 0 {
-			return n
+			return max(n, t.crashLimit())
 		}
 	}
 	records, ok := t.suspects.Peek(f)
--- a/protocol/exchange/crash.go
+++ b/protocol/exchange/crash.go
@@ -1,8 +1,12 @@
 package exchange
 
 import (
+	"encoding/binary"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphirehead/coordination/quarantine"
 	"samphirehead/state/id"
 )
@@ -15,7 +19,7 @@
 			Fingerprint: uint64(r.Fingerprint),
 			Upstream:    string(r.Upstream),
 			Request:     string(r.Request),
-			AgeUs:       max(now.Sub(r.At), 0).Microseconds(),
+			AgeUs:       ageOf(r.At, now),
 		}
 	}
 	return out
@@ -35,17 +39,43 @@
 	return records
 }
 
-// CrashReportsOf returns the reports of a tracker that are at most maxAge old, at most
-// n of each kind.
-func CrashReportsOf(t *quarantine.Tracker, now time.Time, maxAge time.Duration, n int) *CrashReports {
-	records, clearances := t.Reports(now, maxAge, n)
-	out := &CrashReports{Crashes: CrashesToProto(records, now)}
+// ReportLimits bound the crash reports in one message.
+type ReportLimits struct {
+	// MaxAge is how long crashes and clearances are reported.
+	MaxAge time.Duration
+	// MaxEach bounds the crashes, the clearances and the quarantines, each.
+	MaxEach int
+}
+
+// CrashReportsOf returns the reports of a tracker in reply to those received, which are
+// nil for a message that is no reply.
+func CrashReportsOf(t *quarantine.Tracker, now time.Time, received *CrashReports, limits ReportLimits) *CrashReports {
+	records, clearances := t.Reports(now, limits.MaxAge, limits.MaxEach)
+	quarantines := t.Quarantines(now)
+	out := &CrashReports{Crashes: CrashesToProto(records, now), QuarantineHash: hashOf(quarantines)}
 	for _, c := range clearances {
-		out.Clearances = append(out.Clearances, &Clearance{Fingerprint: uint64(c.Fingerprint), AgeUs: max(now.Sub(c.At), 0).Microseconds()})
+		out.Clearances = append(out.Clearances, &Clearance{Fingerprint: uint64(c.Fingerprint), AgeUs: ageOf(c.At, now)})
+	}
+	if received == nil || received.QuarantineHash == out.QuarantineHash {
+		return out
+	}
+	// If there are too many, a random part in each message sends them all in time.
+	rand.Shuffle(len(quarantines), func(i, j int) { quarantines[i], quarantines[j] = quarantines[j], quarantines[i] })
+	for _, q := range quarantines[:min(len(quarantines), limits.MaxEach)] {
+		out.Quarantines = append(out.Quarantines, &Quarantine{Fingerprint: uint64(q.Fingerprint), AgeUs: ageOf(q.At, now)})
 	}
 	return out
 }
 
+// hashOf returns a hash of quarantines that does not depend on their order.
+func hashOf(quarantines []quarantine.Quarantine) uint64 {
+	var hash uint64
+	for _, q := range quarantines {
+		hash ^= xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(q.Fingerprint)))
+	}
+	return hash
+}
+
 // ApplyCrashReports passes reports that were received at now to a tracker, and returns
 // its effects.
 func ApplyCrashReports(t *quarantine.Tracker, now time.Time, reports *CrashReports) []quarantine.Effect {
@@ -53,10 +83,24 @@
 	for i, c := range reports.GetClearances() {
 		clearances[i] = quarantine.Clearance{Fingerprint: id.Fingerprint(c.Fingerprint), At: timeOf(c.AgeUs, now)}
 	}
-	effects := t.Step(now, quarantine.RecordsReceived{Records: CrashesFromProto(reports.GetCrashes(), now)})
-	return append(effects, t.Step(now, quarantine.ClearancesReceived{Clearances: clearances})...)
+	quarantines := make([]quarantine.Quarantine, len(reports.GetQuarantines()))
+	for i, q := range reports.GetQuarantines() {
+		quarantines[i] = quarantine.Quarantine{Fingerprint: id.Fingerprint(q.Fingerprint), At: timeOf(q.AgeUs, now)}
+	}
+	var effects []quarantine.Effect
+	for _, ev := range []quarantine.Event{
+		quarantine.RecordsReceived{Records: CrashesFromProto(reports.GetCrashes(), now)},
+		quarantine.ClearancesReceived{Clearances: clearances},
+		quarantine.QuarantinesReceived{Quarantines: quarantines},
+	} {
+		effects = append(effects, t.Step(now, ev)...)
+	}
+	return effects
 }
 
+// ageOf returns how old an event of the time at is at now, in microseconds.
+func ageOf(at, now time.Time) int64 { return max(now.Sub(at), 0).Microseconds() }
+
 // timeOf returns the time of an event that was ageUs microseconds old at now.
 func timeOf(ageUs int64, now time.Time) time.Time {
 	return now.Add(-max(time.Duration(ageUs)*time.Microsecond, 0))
--- a/router/peers.go
+++ b/router/peers.go
@@ -86,7 +86,7 @@
 // exchangeState exchanges state with one instance, and fetches its copies of
 // tables that are newer than the copies here.
 func (r *Router) exchangeState(ctx context.Context, address string) {
-	response, err := r.peers.Swap(ctx, address, r.stateMessage())
+	response, err := r.peers.Swap(ctx, address, r.stateMessage(nil))
 	if err != nil {
 		if ctx.Err() == nil {
 			klog.V(1).InfoS("peer not reached", "peer", address, "err", err)
@@ -137,7 +137,7 @@
 // Swap receives the state of another instance and returns this one's.
 func (r *Router) Swap(_ context.Context, s *exchange.State) (*exchange.State, error) {
 	r.receiveState(s)
-	return r.stateMessage(), nil
+	return r.stateMessage(s), nil
 }
 
 // Fetch returns this instance's copy of a table. The response is empty if there
@@ -157,8 +157,9 @@
 	return &exchange.FetchResponse{}, nil
 }
 
-// stateMessage builds the message that is exchanged with peers.
-func (r *Router) stateMessage() *exchange.State {
+// stateMessage builds the message that is exchanged with peers. received is the
+// message to which it replies, or nil.
+func (r *Router) stateMessage(received *exchange.State) *exchange.State {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -179,7 +180,7 @@
 		loads, failing := exchange.LoadReport(c, now)
 		s.Loads, s.Failing = append(s.Loads, loads...), append(s.Failing, failing...)
 	}
-	r.quarantines.addReports(now, s)
+	r.quarantines.addReports(now, s, received)
 	s.Refused = r.refused.recent(now)
 	return s
 }
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -20,12 +20,11 @@
 	// part that many requests have may be at several upstreams that crash at once.
 	// Between crashes further apart, requests with a harmless part are answered.
 	partCrashSeparation = 300 * time.Millisecond
-	// maxReportAge is how long crashes are reported to peers, and
-	// maxReportsPerMessage bounds those in one message, by kind.
-	maxReportAge         = 30 * time.Second
-	maxReportsPerMessage = 32
 )
 
+// reportLimits bound the crash reports in a message to a peer.
+var reportLimits = exchange.ReportLimits{MaxAge: 30 * time.Second, MaxEach: 32}
+
 // quarantines tracks the requests, and the parts of prompts, that crash upstreams. It
 // is guarded by Router.mu.
 type quarantines struct {
@@ -57,10 +56,11 @@
 	return false
 }
 
-// addReports adds the recent crashes to a message to a peer.
-func (q *quarantines) addReports(now time.Time, s *exchange.State) {
-	s.RequestCrashes = exchange.CrashReportsOf(&q.requests, now, maxReportAge, maxReportsPerMessage)
-	s.PartCrashes = exchange.CrashReportsOf(&q.parts, now, maxReportAge, maxReportsPerMessage)
+// addReports adds the crash reports to a message to a peer, in reply to the peer's
+// own if received is not nil.
+func (q *quarantines) addReports(now time.Time, s, received *exchange.State) {
+	s.RequestCrashes = exchange.CrashReportsOf(&q.requests, now, received.GetRequestCrashes(), reportLimits)
+	s.PartCrashes = exchange.CrashReportsOf(&q.parts, now, received.GetPartCrashes(), reportLimits)
 }
 
 // receiveReports applies the crashes that a peer reports.
