quarantine: store quarantines for the time after the loss of all instances

Found in the search for further ways in which crashes are forgotten. What is quarantined was kept only in the instances. If all end at once, the part crashes upstreams anew: in TestQuarantineOutlivesAllInstances all of 20 requests, sent from 3 s after the restart on, reached two upstreams each; at most 3 may. Now none does.

Change: the few instances that saw one of the crashes store the quarantine; all read the stored ones in the call that reads the announcements, so that no call is added, and drop those that ended. The platform of a router now has Shared, StoreQuarantine and DropQuarantine.

--- a/coordination/quarantine/reports.go
+++ b/coordination/quarantine/reports.go
@@ -55,11 +55,26 @@
 	At time.Time
 }
 
+// Kind is what a fingerprint stands for.
+type Kind string
+
+// The kinds of fingerprints.
+const (
+	Request Kind = "request"
+	Part    Kind = "part"
+)
+
+// Stored is a quarantine that is stored for instances that start later.
+type Stored struct {
+	Kind Kind
+	Quarantine
+}
+
 func (t *Tracker) quarantinesReceived(now time.Time, ev QuarantinesReceived) []Effect {
 	var effects []Effect
 	for _, q := range ev.Quarantines {
 		known := t.crashCount(now, q.Fingerprint) >= t.crashLimit()
-		if q.Fingerprint == 0 || known || now.Sub(q.At) >= t.lifetime() {
+		if q.Fingerprint == 0 || known || t.Expired(now, q) {
 			continue
 		}
 		effects = append(effects, t.quarantine(q.Fingerprint, []Record{{Fingerprint: q.Fingerprint, At: q.At}})...)
@@ -67,6 +82,9 @@
 	return effects
 }
 
+// Expired reports whether a quarantine has ended at now.
+func (t *Tracker) Expired(now time.Time, q Quarantine) bool { return now.Sub(q.At) >= t.lifetime() }
+
 // Quarantines returns all quarantines at now.
 func (t *Tracker) Quarantines(now time.Time) []Quarantine {
 	t.init()
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -8,6 +8,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,8 @@
 	Upstream    id.Upstream
 	Request     id.Request
 	At          time.Time
+	// Local is set if this instance observed the crash.
+	Local bool
 }
 
 // Event is an input of a Tracker.
@@ -105,7 +108,12 @@
 type BroadcastRecords struct{ Records []Record }
 
 // Started reports a fingerprint whose requests are refused from now on.
-type Started struct{ Fingerprint id.Fingerprint }
+type Started struct {
+	Fingerprint id.Fingerprint
+	// Local is set if this instance observed one of the crashes. There are
+	// few of these, and at least one.
+	Local bool
+}
 
 // VerdictResult is the reply to VerdictRequested.
 type VerdictResult struct {
@@ -216,7 +224,7 @@
 			continue
 		}
 		seen[in.Fingerprint] = true
-		r := Record{in.Fingerprint, ev.Upstream, in.Request, now}
+		r := Record{Fingerprint: in.Fingerprint, Upstream: ev.Upstream, Request: in.Request, At: now, Local: true}
 		records = append(records, r)
 		effects = append(effects, t.addRecord(now, r)...)
 	}
@@ -262,7 +270,8 @@
 	t.suspects.Remove(f)
 	t.quarantined.Add(f, records)
 	t.quarantinesStarted++
-	return []Effect{Started{f}}
+	local := slices.ContainsFunc(records, func(r Record) bool { return r.Local })
+	return []Effect{Started{f, local}}
 }
 
 func (t *Tracker) completed(now time.Time, f id.Fingerprint) {
--- a/router/peers.go
+++ b/router/peers.go
@@ -250,11 +250,12 @@
 				klog.V(1).InfoS("instance not announced", "err", err)
 			}
 		}
-		addresses, err := r.Platform.PeerAddresses(ctx)
+		addresses, quarantines, err := r.Platform.Shared(ctx)
 		if err != nil {
 			klog.V(1).InfoS("announcements not read", "err", err)
 		} else {
 			r.stepMembership(heartbeat.SeedsAdded{Addresses: addresses})
+			r.applyStored(ctx, quarantines)
 		}
 		wait := announceInterval
 		if err != nil || !announced {
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -20,6 +20,8 @@
 	// part that many requests have may be at several upstreams that crash at once.
 	// Between crashes further apart, requests with a harmless part are answered.
 	partCrashSeparation = 300 * time.Millisecond
+	// maxUnstored bounds the quarantines that wait to be stored.
+	maxUnstored = 256
 )
 
 // reportLimits bound the crash reports in a message to a peer.
@@ -29,12 +31,26 @@
 // is guarded by Router.mu.
 type quarantines struct {
 	requests, parts quarantine.Tracker
+	// unstored holds quarantines that this instance is to store.
+	unstored chan quarantine.Stored
 }
 
 func (q *quarantines) init() {
 	q.requests.CrashLimit = crashLimit
 	q.parts.CrashLimit = crashLimit
 	q.parts.Separation = partCrashSeparation
+	q.unstored = make(chan quarantine.Stored, maxUnstored)
+}
+
+// tracker returns the tracker of a kind of fingerprints, or nil if there is none.
+func (q *quarantines) tracker(kind quarantine.Kind) *quarantine.Tracker {
+	switch kind {
+	case quarantine.Request:
+		return &q.requests
+	case quarantine.Part:
+		return &q.parts
+	}
+	return nil
 }
 
 // started returns the number of quarantines started so far.
@@ -65,89 +81,40 @@
 
 // receiveReports applies the crashes that a peer reports.
 func (q *quarantines) receiveReports(now time.Time, s *exchange.State) {
-	peer := s.Self.GetInstance()
-	logReceived("request", peer, exchange.ApplyCrashReports(&q.requests, now, s.RequestCrashes))
-	logReceived("part", peer, exchange.ApplyCrashReports(&q.parts, now, s.PartCrashes))
-}
-
-// logReceived logs the quarantines that start because of a peer's report.
-func logReceived(kind, peer string, effects []quarantine.Effect) {
-	for _, effect := range effects {
-		if started, ok := effect.(quarantine.Started); ok {
-			klog.InfoS("quarantine received", "kind", kind, "fingerprint", started.Fingerprint, "peer", peer)
-		}
-	}
+	source := "peer " + s.Self.GetInstance()
+	q.handleReceived(now, quarantine.Request, source, exchange.ApplyCrashReports(&q.requests, now, s.RequestCrashes))
+	q.handleReceived(now, quarantine.Part, source, exchange.ApplyCrashReports(&q.parts, now, s.PartCrashes))
 }
 
-// sharedPartNames returns the names of the parts of the prompt that other requests may
-// have, too. The last part belongs to the request.
-func (j *job) sharedPartNames() []string {
-	var names []string
-	for i := range len(j.Parts) - 1 {
-		names = append(names, j.Parts[i].Name)
+// handleReceived logs the quarantines that start because of something received, and
+// has them stored.
+func (q *quarantines) handleReceived(now time.Time, kind quarantine.Kind, source string, effects []quarantine.Effect) {
+	for _, started := range startedIn(effects) {
+		klog.InfoS("quarantine received", "kind", kind, "fingerprint", started.Fingerprint, "source", source)
 	}
-	return names
+	q.store(now, kind, effects)
 }
 
-// quarantined reports whether the request must not be sent to an upstream.
-func (j *job) quarantined() bool {
-	j.router.mu.Lock()
-	defer j.router.mu.Unlock()
-	return j.router.quarantines.contains(time.Now(), j.digest, j.sharedParts)
-}
-
-// recordCrash records that the upstream gave no complete answer. It may have
-// crashed, and the request may be the cause. If the answer had begun and not come to
-// its first event, a part of the prompt may be.
-func (j *job) recordCrash(a *attempt) {
-	r := j.router
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	started := r.quarantines.requests.Step(now, quarantine.Crashed{
-		Upstream: a.Upstream,
-		InFlight: []quarantine.InFlight{{Request: j.ID, Fingerprint: j.digest}},
-	})
-	if a.response != nil && a.response.Sealed && !a.started {
-		crashed := quarantine.Crashed{Upstream: a.Upstream}
-		for _, part := range j.sharedParts {
-			crashed.InFlight = append(crashed.InFlight, quarantine.InFlight{Request: j.ID, Fingerprint: part})
+// store has the quarantines stored that started with a crash observed here.
+func (q *quarantines) store(now time.Time, kind quarantine.Kind, effects []quarantine.Effect) {
+	for _, started := range startedIn(effects) {
+		if !started.Local {
+			continue
 		}
-		started = append(started, r.quarantines.parts.Step(now, crashed)...)
-	}
-	for _, effect := range started {
-		if effect, ok := effect.(quarantine.Started); ok {
-			klog.InfoS("quarantined", "request", j.ID, "route", j.route.Name, "upstream", a.Upstream,
-				"fingerprint", effect.Fingerprint, "part", j.partName(effect.Fingerprint))
+		select {
+		case q.unstored <- quarantine.Stored{Kind: kind, Quarantine: quarantine.Quarantine{Fingerprint: started.Fingerprint, At: now}}:
+		default:
+			klog.InfoS("quarantine not stored", "kind", kind, "fingerprint", started.Fingerprint, "err", "too many wait")
 		}
 	}
 }
 
-// partName returns the name of the part with a fingerprint, or "" if the prompt has
-// none.
-func (j *job) partName(f id.Fingerprint) string {
-	for i, part := range j.sharedParts {
-		if part == f {
-			return j.Parts[i].Name
+func startedIn(effects []quarantine.Effect) []quarantine.Started {
+	var all []quarantine.Started
+	for _, effect := range effects {
+		if started, ok := effect.(quarantine.Started); ok {
+			all = append(all, started)
 		}
 	}
-	return ""
-}
-
-// clearRequest records that the request was answered completely.
-func (j *job) clearRequest() {
-	j.router.mu.Lock()
-	defer j.router.mu.Unlock()
-	j.router.quarantines.requests.Step(time.Now(), quarantine.Completed{Fingerprint: j.digest})
-}
-
-// clearParts records that an upstream wrote the first part of the answer, and was not
-// crashed by a part of the prompt.
-func (j *job) clearParts() {
-	j.router.mu.Lock()
-	defer j.router.mu.Unlock()
-	now := time.Now()
-	for _, part := range j.sharedParts {
-		j.router.quarantines.parts.Step(now, quarantine.Completed{Fingerprint: part})
-	}
+	return all
 }
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/heartbeat"
+	"samphirehead/coordination/quarantine"
 	"samphirehead/coordination/registry"
 	"samphirehead/coordination/retrybudget"
 	"samphirehead/protocol/call"
@@ -48,8 +49,13 @@
 	Announce(ctx context.Context, instance id.Instance, peerAddress string) error
 	// Withdraw removes the announcement of an instance.
 	Withdraw(ctx context.Context, instance id.Instance) error
-	// PeerAddresses returns the peer addresses of all announced instances.
-	PeerAddresses(ctx context.Context) ([]string, error)
+	// StoreQuarantine stores a quarantine for instances that start later, and
+	// DropQuarantine removes it.
+	StoreQuarantine(ctx context.Context, q quarantine.Stored) error
+	DropQuarantine(ctx context.Context, q quarantine.Stored) error
+	// Shared returns the peer addresses of all announced instances, and the stored
+	// quarantines.
+	Shared(ctx context.Context) (peerAddresses []string, quarantines []quarantine.Stored, err error)
 }
 
 // Handlers build the HTTP handlers whose form the platform prescribes.
@@ -249,6 +255,7 @@
 		{Name: "tables", Run: r.applyTables},
 		{Name: "exchange", Run: r.gossip},
 		{Name: "announcement", Run: r.announce},
+		{Name: "quarantines", Run: r.storeQuarantines},
 		{Name: "drain", Run: r.waitForDrain},
 	}
 	for endpoint, l := range r.listeners {
--- /dev/null
+++ b/router/storedquarantines.go
@@ -0,0 +1,74 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/quarantine"
+)
+
+// maxDropDelay is the longest time after the end of a quarantine until it is dropped
+// from the store.
+const maxDropDelay = 10 * time.Minute
+
+// storeQuarantines stores the quarantines that start here until ctx ends.
+func (r *Router) storeQuarantines(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case q := <-r.quarantines.unstored:
+			r.storeUntilTaken(ctx, q)
+		}
+	}
+}
+
+// storeUntilTaken tries to store a quarantine until the platform has taken it or ctx
+// ends.
+func (r *Router) storeUntilTaken(ctx context.Context, q quarantine.Stored) {
+	for ctx.Err() == nil {
+		err := r.Platform.StoreQuarantine(ctx, q)
+		if err == nil {
+			return
+		}
+		klog.InfoS("quarantine not stored", "kind", q.Kind, "fingerprint", q.Fingerprint, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceRetry):
+		}
+	}
+}
+
+// applyStored applies the stored quarantines, and drops those that ended long ago.
+func (r *Router) applyStored(ctx context.Context, stored []quarantine.Stored) {
+	for _, q := range stored {
+		if r.startStored(q) {
+			continue
+		}
+		if err := r.Platform.DropQuarantine(ctx, q); err != nil {
+			klog.V(1).InfoS("quarantine not dropped", "kind", q.Kind, "fingerprint", q.Fingerprint, "err", err)
+		}
+	}
+}
+
+// startStored starts a stored quarantine here unless it has ended. It returns false if
+// this instance is to drop it from the store. As the instances read at the same time,
+// each waits for a random time.
+func (r *Router) startStored(q quarantine.Stored) bool {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tracker := r.quarantines.tracker(q.Kind)
+	if tracker == nil {
+		return true
+	}
+	if tracker.Expired(now.Add(-rand.N(maxDropDelay)), q.Quarantine) {
+		return false
+	}
+	effects := tracker.Step(now, quarantine.QuarantinesReceived{Quarantines: []quarantine.Quarantine{q.Quarantine}})
+	r.quarantines.handleReceived(now, q.Kind, "store", effects)
+	return true
+}
