quarantine: leave sound parts beside a crashing one alone

Found by a stricter run of TestPromptPartThatCrashesUpstreams: where no sound request was answered between the crashes, the first part of the prompts was quarantined with the crashing one, and sound requests got 503 for 30 minutes.

Cause: all shared parts of the prompt are at each crash; only an answer in the second or so between the crashes told them apart.

Change: what came before counts, too. A part whose requests were answered before must crash upstreams for 2 s without an answer, not in three crashes; the new part is quarantined long before. That a part was answered before is passed on with its first crash. An answer after the first crash ends a quarantine everywhere, and an instance that knows more does not take one over.

--- a/coordination/quarantine/records.go
+++ b/coordination/quarantine/records.go
@@ -1,6 +1,11 @@
 package quarantine
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"samphirehead/state/id"
+)
 
 // withRecord returns records with r added, and reports whether r is the record of a
 // further crash, or of an earlier one than the record that it replaces.
@@ -29,6 +34,28 @@
 	return kept
 }
 
+// isProven reports whether the records are enough for a quarantine, given when a
+// request with the fingerprint last completed.
+func (t *Tracker) isProven(f id.Fingerprint, records []Record) bool {
+	completedAt, known := t.completions.Peek(f)
+	if t.ProvenSpan <= 0 || !known {
+		return true
+	}
+	first, last := span(records)
+	return first.After(completedAt) && last.Sub(first) >= t.ProvenSpan
+}
+
+// span returns the times of the first and the last crash.
+func span(records []Record) (first, last time.Time) {
+	byTime := func(a, b Record) int { return a.At.Compare(b.At) }
+	return slices.MinFunc(records, byTime).At, slices.MaxFunc(records, byTime).At
+}
+
+// observedHere reports whether this instance observed one of the crashes.
+func observedHere(records []Record) bool {
+	return slices.ContainsFunc(records, func(r Record) bool { return r.Local })
+}
+
 // containsCrash reports whether a record describes the same crash as r.
 func containsCrash(records []Record, r Record) bool {
 	return slices.ContainsFunc(records, func(known Record) bool { return sameCrash(known, r) })
--- a/coordination/quarantine/reports.go
+++ b/coordination/quarantine/reports.go
@@ -13,46 +13,59 @@
 	At          time.Time
 }
 
-func (t *Tracker) clearancesReceived(now time.Time, ev ClearancesReceived) {
+func (t *Tracker) clearancesReceived(now time.Time, ev ClearancesReceived) []Effect {
+	var effects []Effect
 	for _, c := range ev.Clearances {
-		if c.Fingerprint == 0 || t.crashCount(now, c.Fingerprint) >= t.crashLimit() {
-			continue
-		}
-		if known, ok := t.completions.Peek(c.Fingerprint); ok && !c.At.After(known) {
-			continue
+		if c.Fingerprint != 0 {
+			effects = append(effects, t.clear(now, c)...)
 		}
-		t.completions.Add(c.Fingerprint, c.At)
-		t.clearances.Add(c.Fingerprint, c.At)
-		t.dropRecordsUntil(c)
 	}
+	return effects
 }
 
-// dropRecordsUntil drops the records of a suspect that are not later than its
-// clearance.
-func (t *Tracker) dropRecordsUntil(c Clearance) {
-	records, ok := t.suspects.Peek(c.Fingerprint)
-	if !ok {
-		return
+// clear applies a clearance that is newer than those known, and has it reported. It
+// drops the records up to its time, and ends a quarantine that is no longer proven.
+func (t *Tracker) clear(now time.Time, c Clearance) []Effect {
+	f := c.Fingerprint
+	if known, ok := t.completions.Peek(f); ok && !c.At.After(known) {
+		return nil
+	}
+	if t.ProvenSpan <= 0 && t.isQuarantined(now, f) {
+		return nil
+	}
+	t.completions.Add(f, c.At)
+	t.clearances.Add(f, now)
+	t.keepSuspicions(f, t.suspicions(now, f), c.At)
+	records, ok := t.quarantined.Peek(f)
+	if !ok || t.isProven(f, records) {
+		return nil
 	}
+	t.quarantined.Remove(f)
+	t.keepSuspicions(f, records, c.At)
+	return []Effect{Ended{f, observedHere(records)}}
+}
+
+// keepSuspicions makes the records after a time those of a suspect.
+func (t *Tracker) keepSuspicions(f id.Fingerprint, records []Record, after time.Time) {
 	var later []Record
 	for _, r := range records {
-		if r.At.After(c.At) {
+		if r.At.After(after) {
 			later = append(later, r)
 		}
 	}
 	if len(later) == 0 {
-		t.suspects.Remove(c.Fingerprint)
+		t.suspects.Remove(f)
 		return
 	}
-	t.suspects.Add(c.Fingerprint, later)
+	t.suspects.Add(f, later)
 }
 
 // Quarantine is a fingerprint whose requests are refused. Instances send quarantines
 // to each other.
 type Quarantine struct {
 	Fingerprint id.Fingerprint
-	// At is the time of the last crash that counted.
-	At time.Time
+	// First and Last are the times of the first and the last crash that counted.
+	First, Last time.Time
 }
 
 // Kind is what a fingerprint stands for.
@@ -70,37 +83,53 @@
 	Quarantine
 }
 
+// quarantinesReceived starts the quarantines that this instance does not know better.
 func (t *Tracker) quarantinesReceived(now time.Time, ev QuarantinesReceived) []Effect {
 	var effects []Effect
 	for _, q := range ev.Quarantines {
-		known := t.crashCount(now, q.Fingerprint) >= t.crashLimit()
-		if q.Fingerprint == 0 || known || t.Expired(now, q) {
+		f := q.Fingerprint
+		if f == 0 || t.isQuarantined(now, f) || t.Expired(now, q) {
+			continue
+		}
+		records := []Record{{Fingerprint: f, At: q.First}, {Fingerprint: f, At: q.Last}}
+		if !t.isProven(f, records) {
+			t.clearances.Add(f, now)
 			continue
 		}
-		effects = append(effects, t.quarantine(q.Fingerprint, []Record{{Fingerprint: q.Fingerprint, At: q.At}})...)
+		effects = append(effects, t.quarantine(f, records)...)
 	}
 	return effects
 }
 
 // Expired reports whether a quarantine has ended at now.
-func (t *Tracker) Expired(now time.Time, q Quarantine) bool { return now.Sub(q.At) >= t.lifetime() }
+func (t *Tracker) Expired(now time.Time, q Quarantine) bool { return now.Sub(q.Last) >= t.lifetime() }
 
 // Quarantines returns all quarantines at now.
 func (t *Tracker) Quarantines(now time.Time) []Quarantine {
 	t.init()
 	var all []Quarantine
 	for _, f := range t.quarantined.Keys() {
-		records, _ := t.quarantined.Peek(f)
-		if records = t.unexpired(now, records); len(records) > 0 {
-			all = append(all, Quarantine{f, records[len(records)-1].At})
+		if q, ok := t.Quarantine(now, f); ok {
+			all = append(all, q)
 		}
 	}
 	return all
 }
 
-// Reports returns crash records of suspects and clearances that are at most maxAge
-// old, for other instances: at most n of each, the newest first. They include those
-// received from others.
+// Quarantine returns the quarantine of a fingerprint at now, if there is one.
+func (t *Tracker) Quarantine(now time.Time, f id.Fingerprint) (Quarantine, bool) {
+	t.init()
+	records, _ := t.quarantined.Peek(f)
+	if records = t.unexpired(now, records); len(records) == 0 {
+		return Quarantine{}, false
+	}
+	first, last := span(records)
+	return Quarantine{f, first, last}, true
+}
+
+// Reports returns crash records of suspects that are at most maxAge old, and clearances
+// that became of use to other instances since then: at most n of each, the newest
+// first. They include those received from others.
 func (t *Tracker) Reports(now time.Time, maxAge time.Duration, n int) ([]Record, []Clearance) {
 	t.init()
 	var records []Record
@@ -122,13 +151,16 @@
 	return young
 }
 
+// recentClearances returns the clearances that other instances may need since at most
+// maxAge.
 func (t *Tracker) recentClearances(now time.Time, maxAge time.Duration, n int) []Clearance {
 	var recent []Clearance
 	fingerprints := t.clearances.Keys()
 	for i := len(fingerprints) - 1; i >= 0 && len(recent) < n; i-- {
-		at, _ := t.clearances.Peek(fingerprints[i])
-		if now.Sub(at) < maxAge {
-			recent = append(recent, Clearance{fingerprints[i], at})
+		since, _ := t.clearances.Peek(fingerprints[i])
+		completedAt, ok := t.completions.Peek(fingerprints[i])
+		if ok && now.Sub(since) < maxAge {
+			recent = append(recent, Clearance{fingerprints[i], completedAt})
 		}
 	}
 	return recent
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -8,7 +8,6 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -115,6 +114,13 @@
 	Local bool
 }
 
+// Ended reports a fingerprint whose quarantine ended by a completion.
+type Ended struct {
+	Fingerprint id.Fingerprint
+	// Local is set as in Started.
+	Local bool
+}
+
 // VerdictResult is the reply to VerdictRequested.
 type VerdictResult struct {
 	Fingerprint id.Fingerprint
@@ -123,6 +129,7 @@
 
 func (BroadcastRecords) effect() {}
 func (Started) effect()          {}
+func (Ended) effect()            {}
 func (VerdictResult) effect()    {}
 
 // Tracker tracks suspected and quarantined fingerprints. Its zero value is ready
@@ -141,12 +148,18 @@
 	// Separation is how long after a crash the next one counts as a further crash
 	// of a fingerprint. If it is 0, crashes of different upstreams always do.
 	Separation time.Duration
+	// ProvenSpan applies to a fingerprint that has completed before: its crashes
+	// must go on for so long without a completion until it is quarantined, and a
+	// completion after the first of them ends its quarantine. If it is 0,
+	// completions before the crashes do not matter, and none ends a quarantine.
+	ProvenSpan time.Duration
 
 	suspects    *simplelru.LRU[id.Fingerprint, []Record]
 	quarantined *simplelru.LRU[id.Fingerprint, []Record]
 	// completions holds the time at which a request last completed.
 	completions *simplelru.LRU[id.Fingerprint, time.Time]
-	// clearances holds the completions that other instances may need.
+	// clearances holds the fingerprints whose completions other instances may
+	// need, and since when.
 	clearances         *simplelru.LRU[id.Fingerprint, time.Time]
 	quarantinesStarted int
 }
@@ -161,9 +174,9 @@
 	case RecordsReceived:
 		return t.recordsReceived(now, ev)
 	case Completed:
-		t.completed(now, ev.Fingerprint)
+		return t.completed(now, ev.Fingerprint)
 	case ClearancesReceived:
-		t.clearancesReceived(now, ev)
+		return t.clearancesReceived(now, ev)
 	case QuarantinesReceived:
 		return t.quarantinesReceived(now, ev)
 	case VerdictRequested:
@@ -175,10 +188,10 @@
 // Verdict returns the verdict on a fingerprint.
 func (t *Tracker) Verdict(now time.Time, f id.Fingerprint) Verdict {
 	t.init()
-	switch n := t.crashCount(now, f); {
-	case n >= t.crashLimit():
+	switch {
+	case t.isQuarantined(now, f):
 		return Quarantined
-	case n > 0:
+	case len(t.suspicions(now, f)) > 0:
 		return Suspected
 	default:
 		return Clear
@@ -191,7 +204,10 @@
 // quarantine, so that requests running at once can't cause more.
 func (t *Tracker) MaxCopies(now time.Time, f id.Fingerprint) int {
 	t.init()
-	n := t.crashCount(now, f)
+	if t.isQuarantined(now, f) {
+		return 0
+	}
+	n := len(t.suspicions(now, f))
 	if n == 0 && (f == 0 || t.completions.Contains(f)) {
 		return UnlimitedCopies
 	}
@@ -240,26 +256,29 @@
 		if r.Fingerprint == 0 || now.Sub(r.At) >= t.lifetime() {
 			continue
 		}
-		if completedAt, ok := t.completions.Peek(r.Fingerprint); ok && !r.At.After(completedAt) {
-			t.clearances.Add(r.Fingerprint, completedAt)
-			continue
-		}
 		effects = append(effects, t.addRecord(now, r)...)
 	}
 	return effects
 }
 
+// addRecord adds a record unless a request with the fingerprint has completed since.
 func (t *Tracker) addRecord(now time.Time, r Record) []Effect {
 	f := r.Fingerprint
-	if _, ok := t.quarantined.Get(f); ok && t.crashCount(now, f) >= t.crashLimit() {
+	if t.isQuarantined(now, f) {
+		t.quarantined.Get(f)
 		return nil
 	}
-	old, _ := t.suspects.Get(f)
-	records, ok := t.withRecord(t.unexpired(now, old), r)
+	if completedAt, ok := t.completions.Peek(f); ok {
+		t.clearances.Add(f, now)
+		if !r.At.After(completedAt) {
+			return nil
+		}
+	}
+	records, ok := t.withRecord(t.suspicions(now, f), r)
 	if !ok {
 		return nil
 	}
-	if len(records) < t.crashLimit() {
+	if len(records) < t.crashLimit() || !t.isProven(f, records) {
 		t.suspects.Add(f, records)
 		return nil
 	}
@@ -270,35 +289,30 @@
 	t.suspects.Remove(f)
 	t.quarantined.Add(f, records)
 	t.quarantinesStarted++
-	local := slices.ContainsFunc(records, func(r Record) bool { return r.Local })
-	return []Effect{Started{f, local}}
+	return []Effect{Started{f, observedHere(records)}}
 }
 
-func (t *Tracker) completed(now time.Time, f id.Fingerprint) {
-	if f == 0 || t.crashCount(now, f) >= t.crashLimit() {
-		return
+func (t *Tracker) completed(now time.Time, f id.Fingerprint) []Effect {
+	if f == 0 {
+		return nil
 	}
-	t.completions.Add(f, now)
-	if t.suspects.Remove(f) {
-		t.clearances.Add(f, now)
+	if t.isQuarantined(now, f) || t.suspects.Contains(f) {
+		return t.clear(now, Clearance{f, now})
 	}
+	t.completions.Add(f, now)
+	return nil
 }
 
-// crashCount returns the number of crashes of a fingerprint that still count.
-func (t *Tracker) crashCount(now time.Time, f id.Fingerprint) int {
-	if f == 0 {
-		return 0
-	}
-	if records, ok := t.quarantined.Peek(f); ok {
-		if n := len(t.unexpired(now, records)); n > 0 {
-			return max(n, t.crashLimit())
-		}
-	}
-	records, ok := t.suspects.Peek(f)
-	if !ok {
-		return 0
-	}
-	return len(t.unexpired(now, records))
+// isQuarantined reports whether requests with a fingerprint are refused.
+func (t *Tracker) isQuarantined(now time.Time, f id.Fingerprint) bool {
+	records, ok := t.quarantined.Peek(f)
+	return ok && len(t.unexpired(now, records)) > 0
+}
+
+// suspicions returns the records of a suspect that still count.
+func (t *Tracker) suspicions(now time.Time, f id.Fingerprint) []Record {
+	records, _ := t.suspects.Peek(f)
+	return t.unexpired(now, records)
 }
 
 // unexpired returns a copy of the records, or nil if the last one has expired. The
--- a/protocol/exchange/crash.go
+++ b/protocol/exchange/crash.go
@@ -62,7 +62,7 @@
 	// If there are too many, a random part in each message sends them all in time.
 	rand.Shuffle(len(quarantines), func(i, j int) { quarantines[i], quarantines[j] = quarantines[j], quarantines[i] })
 	for _, q := range quarantines[:min(len(quarantines), limits.MaxEach)] {
-		out.Quarantines = append(out.Quarantines, &Quarantine{Fingerprint: uint64(q.Fingerprint), AgeUs: ageOf(q.At, now)})
+		out.Quarantines = append(out.Quarantines, &Quarantine{Fingerprint: uint64(q.Fingerprint), AgeUs: ageOf(q.Last, now), SpanUs: q.Last.Sub(q.First).Microseconds()})
 	}
 	return out
 }
@@ -85,12 +85,13 @@
 	}
 	quarantines := make([]quarantine.Quarantine, len(reports.GetQuarantines()))
 	for i, q := range reports.GetQuarantines() {
-		quarantines[i] = quarantine.Quarantine{Fingerprint: id.Fingerprint(q.Fingerprint), At: timeOf(q.AgeUs, now)}
+		last := timeOf(q.AgeUs, now)
+		quarantines[i] = quarantine.Quarantine{Fingerprint: id.Fingerprint(q.Fingerprint), First: timeOf(q.SpanUs, last), Last: last}
 	}
 	var effects []quarantine.Effect
 	for _, ev := range []quarantine.Event{
-		quarantine.RecordsReceived{Records: CrashesFromProto(reports.GetCrashes(), now)},
 		quarantine.ClearancesReceived{Clearances: clearances},
+		quarantine.RecordsReceived{Records: CrashesFromProto(reports.GetCrashes(), now)},
 		quarantine.QuarantinesReceived{Quarantines: quarantines},
 	} {
 		effects = append(effects, t.Step(now, ev)...)
--- a/router/crash.go
+++ b/router/crash.go
@@ -52,11 +52,13 @@
 // handleStarted logs the quarantines that start with a crash under the request, and
 // has them stored.
 func (j *job) handleStarted(now time.Time, kind quarantine.Kind, a *attempt, effects []quarantine.Effect) {
-	for _, started := range startedIn(effects) {
-		klog.InfoS("quarantined", "request", j.ID, "route", j.route.Name, "upstream", a.Upstream, "kind", kind,
-			"fingerprint", started.Fingerprint, "part", j.partName(started.Fingerprint))
+	for _, effect := range effects {
+		if started, ok := effect.(quarantine.Started); ok {
+			klog.InfoS("quarantined", "request", j.ID, "route", j.route.Name, "upstream", a.Upstream, "kind", kind,
+				"fingerprint", started.Fingerprint, "part", j.partName(started.Fingerprint))
+		}
 	}
-	j.router.quarantines.store(now, kind, effects)
+	j.router.quarantines.handle(now, kind, effects)
 }
 
 // partName returns the name of the part with a fingerprint, or "" if the prompt has
@@ -84,6 +86,7 @@
 	defer j.router.mu.Unlock()
 	now := time.Now()
 	for _, part := range j.sharedParts {
-		j.router.quarantines.parts.Step(now, quarantine.Completed{Fingerprint: part})
+		effects := j.router.quarantines.parts.Step(now, quarantine.Completed{Fingerprint: part})
+		j.router.quarantines.handle(now, quarantine.Part, effects)
 	}
 }
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -20,6 +20,10 @@
 	// part that many requests have may be at several upstreams that crash at once.
 	// Between crashes further apart, requests with a harmless part are answered.
 	partCrashSeparation = 300 * time.Millisecond
+	// partProvenSpan is how long a part whose requests were answered before must
+	// crash upstreams, without an answer, until it is quarantined. Under a crashing
+	// part, the others of the same prompts are suspects, too.
+	partProvenSpan = 2 * time.Second
 	// maxUnstored bounds the quarantines that wait to be stored.
 	maxUnstored = 256
 )
@@ -31,15 +35,16 @@
 // is guarded by Router.mu.
 type quarantines struct {
 	requests, parts quarantine.Tracker
-	// unstored holds quarantines that this instance is to store.
-	unstored chan quarantine.Stored
+	// unstored holds the changes that this instance is to make in the store.
+	unstored chan storeChange
 }
 
 func (q *quarantines) init() {
 	q.requests.CrashLimit = crashLimit
 	q.parts.CrashLimit = crashLimit
 	q.parts.Separation = partCrashSeparation
-	q.unstored = make(chan quarantine.Stored, maxUnstored)
+	q.parts.ProvenSpan = partProvenSpan
+	q.unstored = make(chan storeChange, maxUnstored)
 }
 
 // tracker returns the tracker of a kind of fingerprints, or nil if there is none.
@@ -86,35 +91,42 @@
 	q.handleReceived(now, quarantine.Part, source, exchange.ApplyCrashReports(&q.parts, now, s.PartCrashes))
 }
 
-// handleReceived logs the quarantines that start because of something received, and
-// has them stored.
+// handleReceived handles the effects of something received from a source.
 func (q *quarantines) handleReceived(now time.Time, kind quarantine.Kind, source string, effects []quarantine.Effect) {
-	for _, started := range startedIn(effects) {
-		klog.InfoS("quarantine received", "kind", kind, "fingerprint", started.Fingerprint, "source", source)
+	for _, effect := range effects {
+		if started, ok := effect.(quarantine.Started); ok {
+			klog.InfoS("quarantine received", "kind", kind, "fingerprint", started.Fingerprint, "source", source)
+		}
 	}
-	q.store(now, kind, effects)
+	q.handle(now, kind, effects)
 }
 
-// store has the quarantines stored that started with a crash observed here.
-func (q *quarantines) store(now time.Time, kind quarantine.Kind, effects []quarantine.Effect) {
-	for _, started := range startedIn(effects) {
-		if !started.Local {
-			continue
-		}
-		select {
-		case q.unstored <- quarantine.Stored{Kind: kind, Quarantine: quarantine.Quarantine{Fingerprint: started.Fingerprint, At: now}}:
-		default:
-			klog.InfoS("quarantine not stored", "kind", kind, "fingerprint", started.Fingerprint, "err", "too many wait")
+// handle logs the quarantines that ended, and has the changes stored that concern
+// crashes observed here.
+func (q *quarantines) handle(now time.Time, kind quarantine.Kind, effects []quarantine.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case quarantine.Started:
+			if stored, ok := q.tracker(kind).Quarantine(now, effect.Fingerprint); ok && effect.Local {
+				q.store(storeChange{Stored: quarantine.Stored{Kind: kind, Quarantine: stored}})
+			}
+		case quarantine.Ended:
+			klog.InfoS("quarantine ended", "kind", kind, "fingerprint", effect.Fingerprint)
+			if effect.Local {
+				q.store(storeChange{
+					Stored: quarantine.Stored{Kind: kind, Quarantine: quarantine.Quarantine{Fingerprint: effect.Fingerprint}},
+					drop:   true,
+				})
+			}
 		}
 	}
 }
 
-func startedIn(effects []quarantine.Effect) []quarantine.Started {
-	var all []quarantine.Started
-	for _, effect := range effects {
-		if started, ok := effect.(quarantine.Started); ok {
-			all = append(all, started)
-		}
+// store queues a change of the stored quarantines.
+func (q *quarantines) store(change storeChange) {
+	select {
+	case q.unstored <- change:
+	default:
+		klog.InfoS("quarantine not stored", "kind", change.Kind, "fingerprint", change.Fingerprint, "err", "too many wait")
 	}
-	return all
 }
--- a/router/storedquarantines.go
+++ b/router/storedquarantines.go
@@ -14,27 +14,36 @@
 // from the store.
 const maxDropDelay = 10 * time.Minute
 
+// storeChange is a quarantine to store, or to drop from the store.
+type storeChange struct {
+	quarantine.Stored
+	drop bool
+}
+
 // storeQuarantines stores the quarantines that start here until ctx ends.
 func (r *Router) storeQuarantines(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case q := <-r.quarantines.unstored:
-			r.storeUntilTaken(ctx, q)
+		case change := <-r.quarantines.unstored:
+			r.storeUntilTaken(ctx, change)
 		}
 	}
 }
 
-// storeUntilTaken tries to store a quarantine until the platform has taken it or ctx
-// ends.
-func (r *Router) storeUntilTaken(ctx context.Context, q quarantine.Stored) {
+// storeUntilTaken tries to make a change until the platform has taken it or ctx ends.
+func (r *Router) storeUntilTaken(ctx context.Context, change storeChange) {
+	apply := r.Platform.StoreQuarantine
+	if change.drop {
+		apply = r.Platform.DropQuarantine
+	}
 	for ctx.Err() == nil {
-		err := r.Platform.StoreQuarantine(ctx, q)
+		err := apply(ctx, change.Stored)
 		if err == nil {
 			return
 		}
-		klog.InfoS("quarantine not stored", "kind", q.Kind, "fingerprint", q.Fingerprint, "err", err)
+		klog.InfoS("quarantine not stored", "kind", change.Kind, "fingerprint", change.Fingerprint, "err", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(announceRetry):
