quarantine: look only at the newest suspects for a report

A message to a peer listed all suspects, up to 8,192, thirty times a second, to find those younger than 30 s. Now the 256 with the newest records are kept apart.

--- a/coordination/quarantine/reports.go
+++ b/coordination/quarantine/reports.go
@@ -57,7 +57,7 @@
 		t.suspects.Remove(f)
 		return
 	}
-	t.suspects.Add(f, later)
+	t.suspect(f, later)
 }
 
 // Quarantine is a fingerprint whose requests are refused. Instances send quarantines
@@ -133,7 +133,7 @@
 func (t *Tracker) Reports(now time.Time, maxAge time.Duration, n int) ([]Record, []Clearance) {
 	t.init()
 	var records []Record
-	fingerprints := t.suspects.Keys()
+	fingerprints := t.recent.Keys()
 	for i := len(fingerprints) - 1; i >= 0 && len(records) < n; i-- {
 		found, _ := t.suspects.Peek(fingerprints[i])
 		records = append(records, youngerThan(maxAge, now, found)...)
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -23,7 +23,8 @@
 
 	defaultLifetime        = 30 * time.Minute
 	defaultMaxFingerprints = 8192
-	maxClearances          = 256
+	// maxReported bounds the suspects and the clearances that may be reported.
+	maxReported = 256
 	// sameCrashWindow is the time between two records of an upstream below which
 	// they count as one crash. It is shorter than the shortest ejection of an
 	// upstream, so that an upstream gets no work within it after a crash.
@@ -156,6 +157,9 @@
 
 	suspects    *simplelru.LRU[id.Fingerprint, []Record]
 	quarantined *simplelru.LRU[id.Fingerprint, []Record]
+	// recent holds the suspects with the newest records, so that reports need not
+	// look at all.
+	recent *simplelru.LRU[id.Fingerprint, struct{}]
 	// completions holds the time at which a request last completed.
 	completions *simplelru.LRU[id.Fingerprint, time.Time]
 	// clearances holds the fingerprints whose completions other instances may
@@ -279,12 +283,17 @@
 		return nil
 	}
 	if len(records) < t.crashLimit() || !t.isProven(f, records) {
-		t.suspects.Add(f, records)
+		t.suspect(f, records)
 		return nil
 	}
 	return t.quarantine(f, records)
 }
 
+func (t *Tracker) suspect(f id.Fingerprint, records []Record) {
+	t.suspects.Add(f, records)
+	t.recent.Add(f, struct{}{})
+}
+
 func (t *Tracker) quarantine(f id.Fingerprint, records []Record) []Effect {
 	t.suspects.Remove(f)
 	t.quarantined.Add(f, records)
@@ -350,5 +359,6 @@
 	t.suspects, _ = simplelru.NewLRU[id.Fingerprint, []Record](limit, nil)
 	t.quarantined, _ = simplelru.NewLRU[id.Fingerprint, []Record](limit, nil)
 	t.completions, _ = simplelru.NewLRU[id.Fingerprint, time.Time](limit, nil)
-	t.clearances, _ = simplelru.NewLRU[id.Fingerprint, time.Time](min(limit, maxClearances), nil)
+	t.recent, _ = simplelru.NewLRU[id.Fingerprint, struct{}](min(limit, maxReported), nil)
+	t.clearances, _ = simplelru.NewLRU[id.Fingerprint, time.Time](min(limit, maxReported), nil)
 }
