quarantine: one crash more against known parts, no retry under suspected ones

Found by TestInstancesQuarantineOnlyTheCrashingPart, which plays 4 and 37 instances with gossip, a crashing part and a sound one beside it.

And each request crashed a second upstream by its retry, also after other requests had shown what comes.

Change: a known part needs four crashes; the new one is quarantined at the third. A request under which an upstream crashed is not sent to another if one of its parts has two crashes and no answer since.

--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -149,10 +149,11 @@
 	// Separation is how long after a crash the next one counts as a further crash
 	// of a fingerprint. If it is 0, crashes of different upstreams always do.
 	Separation time.Duration
-	// ProvenSpan applies to a fingerprint that has completed before: its crashes
-	// must go on for so long without a completion until it is quarantined, and a
-	// completion after the first of them ends its quarantine. If it is 0,
-	// completions before the crashes do not matter, and none ends a quarantine.
+	// ProvenSpan applies to a fingerprint that has completed before: it is
+	// quarantined after one crash more, if they go on for so long without a
+	// completion, and a completion after the first of them ends its quarantine. If
+	// it is 0, completions before the crashes do not matter, and none ends a
+	// quarantine.
 	ProvenSpan time.Duration
 
 	suspects    *simplelru.LRU[id.Fingerprint, []Record]
@@ -202,6 +203,13 @@
 	}
 }
 
+// Crashes returns the number of crashes that count against a fingerprint that is not
+// quarantined.
+func (t *Tracker) Crashes(now time.Time, f id.Fingerprint) int {
+	t.init()
+	return len(t.suspicions(now, f))
+}
+
 // MaxCopies returns how many requests with a fingerprint may be queued or running
 // at once. There is no limit for the fingerprint 0, nor once a request has completed
 // without a later crash. Otherwise the limit is the number of crashes left until the
@@ -282,7 +290,7 @@
 	if !ok {
 		return nil
 	}
-	if len(records) < t.crashLimit() || !t.isProven(f, records) {
+	if len(records) < t.crashLimitOf(f) || !t.isProven(f, records) {
 		t.suspect(f, records)
 		return nil
 	}
@@ -340,6 +348,14 @@
 	return DefaultCrashLimit
 }
 
+// crashLimitOf returns the number of crashes that quarantines a fingerprint.
+func (t *Tracker) crashLimitOf(f id.Fingerprint) int {
+	if t.ProvenSpan > 0 && t.completions.Contains(f) {
+		return t.crashLimit() + 1
+	}
+	return t.crashLimit()
+}
+
 func (t *Tracker) lifetime() time.Duration {
 	if t.Lifetime > 0 {
 		return t.Lifetime
--- a/protocol/exchange/crash_test.go
+++ b/protocol/exchange/crash_test.go
@@ -1,6 +1,9 @@
 package exchange_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,3 +55,100 @@
 		t.Errorf("%d quarantines have not ended with those of the other instance", got)
 	}
 }
+
+const (
+	// fanout and gossipInterval are those of heartbeats between routers.
+	fanout         = 3
+	gossipInterval = 200 * time.Millisecond
+	// contactTime is how long after the fifth crash requests with a part that
+	// crashes upstreams may still be sent on, and maxLate how many may be later.
+	contactTime = 3 * time.Second
+	maxLate     = 3
+
+	soundPart    id.Fingerprint = 1
+	crashingPart id.Fingerprint = 2
+)
+
+// fleet is a number of instances before upstreams that crash on crashingPart.
+type fleet struct {
+	random    *rand.Rand
+	instances []*quarantine.Tracker
+	crashes   []time.Time
+}
+
+func newFleet(seed uint64, instances int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // a test
+	for range instances {
+		f.instances = append(f.instances, &quarantine.Tracker{CrashLimit: 3, Separation: 300 * time.Millisecond, ProvenSpan: 2 * time.Second})
+	}
+	return f
+}
+
+// gossip makes each instance exchange its reports with some others.
+func (f *fleet) gossip(now time.Time) {
+	for _, i := range f.instances {
+		for range fanout {
+			swap(i, f.instances[f.random.IntN(len(f.instances))], now)
+		}
+	}
+}
+
+// send sends a request with these parts to a random instance. It reports whether the
+// request was sent on.
+func (f *fleet) send(now time.Time, parts ...id.Fingerprint) bool {
+	i := f.instances[f.random.IntN(len(f.instances))]
+	if slices.ContainsFunc(parts, func(p id.Fingerprint) bool { return i.Verdict(now, p) == quarantine.Quarantined }) {
+		return false
+	}
+	crashed := quarantine.Crashed{Upstream: id.Upstream(fmt.Sprint(len(f.crashes)))}
+	for _, p := range parts {
+		crashed.InFlight = append(crashed.InFlight, quarantine.InFlight{Request: id.Request(now.String()), Fingerprint: p})
+	}
+	if slices.Contains(parts, crashingPart) {
+		f.crashes = append(f.crashes, now)
+		i.Step(now, crashed)
+		return true
+	}
+	for _, p := range parts {
+		i.Step(now, quarantine.Completed{Fingerprint: p})
+	}
+	return true
+}
+
+// Guards against a part that crashes upstreams at one instance after the other, and
+// against the loss of the requests that share the rest of their prompts.
+func TestInstancesQuarantineOnlyTheCrashingPart(t *testing.T) {
+	for _, c := range []struct {
+		instances int
+		// crashing and sound are the times between two requests.
+		crashing, sound time.Duration
+	}{
+		{4, 100 * time.Millisecond, 300 * time.Millisecond},
+		{4, 2 * time.Second, 12 * time.Second},
+		{37, 30 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		for seed := range uint64(10) {
+			f := newFleet(seed, c.instances)
+			start := time.Unix(1000, 0)
+			late := 0
+			for elapsed := time.Duration(0); elapsed < 30*time.Second; elapsed += 10 * time.Millisecond {
+				now := start.Add(elapsed)
+				if elapsed%gossipInterval == 0 {
+					f.gossip(now)
+				}
+				if elapsed%c.sound == 0 && !f.send(now, soundPart) {
+					t.Errorf("%+v, seed %d: a sound request was refused after %v", c, seed, elapsed)
+				}
+				if elapsed < 5*time.Second || elapsed%c.crashing != 0 || !f.send(now, soundPart, crashingPart) {
+					continue
+				}
+				if len(f.crashes) > 5 && now.Sub(f.crashes[4]) > contactTime {
+					late++
+				}
+			}
+			if late > maxLate {
+				t.Errorf("%+v, seed %d: %d requests were sent on late", c, seed, late)
+			}
+		}
+	}
+}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -106,7 +106,10 @@
 	if j.possibleRuns >= j.route.MaxAttempts || len(j.tried) >= j.route.MaxAttempts+extraAttempts {
 		return false
 	}
-	return !j.quarantined() && j.spendRetry()
+	if j.quarantined() || result == failed && j.retryCrashes() {
+		return false
+	}
+	return j.spendRetry()
 }
 
 // fail ends a request for which there is no answer of an upstream. It answers
--- a/router/crash.go
+++ b/router/crash.go
@@ -26,6 +26,14 @@
 	return j.router.quarantines.contains(time.Now(), j.digest, j.sharedParts)
 }
 
+// retryCrashes reports whether a retry after a possible crash would probably crash a
+// further upstream.
+func (j *job) retryCrashes() bool {
+	j.router.mu.Lock()
+	defer j.router.mu.Unlock()
+	return j.router.quarantines.suspects(time.Now(), j.sharedParts)
+}
+
 // recordCrash records that the upstream gave no complete answer. It may have
 // crashed, and the request may be the cause. If the answer had begun and not come to
 // its first event, a part of the prompt may be.
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -16,6 +16,9 @@
 	// is retried may be at two upstreams that crash at the same time for another
 	// reason.
 	crashLimit = 3
+	// suspicionLimit is how many crashes count against a part, without an answer
+	// since, until a request under which an upstream crashed is not sent to another.
+	suspicionLimit = 2
 	// partCrashSeparation is the time between crashes that count against a part. A
 	// part that many requests have may be at several upstreams that crash at once.
 	// Between crashes further apart, requests with a harmless part are answered.
@@ -77,6 +80,17 @@
 	return false
 }
 
+// suspects reports whether one of the shared parts of a prompt has crashed upstreams
+// repeatedly.
+func (q *quarantines) suspects(now time.Time, parts []id.Fingerprint) bool {
+	for _, part := range parts {
+		if q.parts.Crashes(now, part) >= suspicionLimit {
+			return true
+		}
+	}
+	return false
+}
+
 // addReports adds the crash reports to a message to a peer, in reply to the peer's
 // own if received is not nil.
 func (q *quarantines) addReports(now time.Time, s, received *exchange.State) {
