--- a/state/requestlog/trace.go
+++ b/state/requestlog/trace.go
@@ -122,7 +122,7 @@
 	"body_too_large":   "the body exceeds the configured limit",
 	"body_broken":      "the caller did not send the whole body",
 	"instance_leaving": "the instance was draining and the request could not complete within its grace period; the request did not run",
-	"quarantined":      "the request had crashed the upstreams that ran it and was not sent to others",
+	"quarantined":      "the request, or a part of its prompt, had crashed upstreams, and it was not sent to others",
 	"no_upstream":      "no upstream of the service was left to try",
 	"overloaded":       "requests ahead of it would have delayed its start beyond its objective; the request did not run",
 	"not_run":          "none of the upstreams tried ran the request",
