--- a/protocol/exchange/crash_test.go
+++ b/protocol/exchange/crash_test.go
@@ -74,6 +74,8 @@
 	random    *rand.Rand
 	instances []*quarantine.Tracker
 	crashes   []time.Time
+	// last is the instance that got the last request.
+	last *quarantine.Tracker
 }
 
 func newFleet(seed uint64, instances int) *fleet {
@@ -97,6 +99,7 @@
 // request was sent on.
 func (f *fleet) send(now time.Time, parts ...id.Fingerprint) bool {
 	i := f.instances[f.random.IntN(len(f.instances))]
+	f.last = i
 	if slices.ContainsFunc(parts, func(p id.Fingerprint) bool { return i.Verdict(now, p) == quarantine.Quarantined }) {
 		return false
 	}
@@ -152,3 +155,34 @@
 		}
 	}
 }
+
+// Guards against requests sent on late where upstreams crash in a burst, which counts
+// once, and the next requests come seconds later at instances that have not heard of
+// each other's crashes. The times are those of a random trial.
+func TestBurstOfCrashesAndPause(t *testing.T) {
+	const step = time.Millisecond
+	requests := []time.Duration{88 * step, 100 * step, 306 * step, 4028 * step, 4341 * step, 4395 * step}
+	for seed := range uint64(40) {
+		late := 0
+		f := newFleet(seed, 4)
+		start := time.Unix(1000, 0)
+		for elapsed := time.Duration(0); elapsed < 6*time.Second; elapsed += step {
+			now := start.Add(elapsed)
+			if elapsed%gossipInterval == 0 {
+				f.gossip(now)
+			}
+			if !slices.Contains(requests, elapsed) {
+				continue
+			}
+			// A request is sent again unless its part has two crashes.
+			for try := 0; try < 2 && (try == 0 || f.last.Crashes(now, crashingPart) < 2) && f.send(now, crashingPart); try++ {
+				if len(f.crashes) > 5 && now.Sub(f.crashes[4]) > contactTime {
+					late++
+				}
+			}
+		}
+		if late > maxLate {
+			t.Errorf("seed %d: %d requests were sent on late, want at most %d", seed, late, maxLate)
+		}
+	}
+}
