router: log the software version of upstreams, and which stream a request goes on with

The logs of the incident could not tell whether the choice ignores versions or goes by outdated ones, nor which requests take up a stream. The version is decoded from the entry of an upstream and logged; no decision uses it yet.

--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -31,6 +31,7 @@
 	Service       id.Service
 	Address       string
 	FailureDomain id.FailureDomain
+	Software      id.SoftwareVersion
 	// Slots, KVTokens and PrefillTokensPerSecond are 0 if the list does not
 	// contain them.
 	Slots                  int
--- a/protocol/call/call.go
+++ b/protocol/call/call.go
@@ -31,6 +31,9 @@
 	// OutputTokens is an upper bound.
 	PromptTokens id.Tokens
 	OutputTokens id.Tokens
+	// Resumes is the id of the request that brought the caller the first event of the
+	// stream that this one goes on with; empty for a new request.
+	Resumes id.Request
 }
 
 // SendOptions are the parameters of sending a request to one upstream.
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -155,7 +155,7 @@
 		CopyFrom:      chosen.CopyFrom,
 		NewConnection: j.route.Semantics == routing.AtMostOnce && !j.route.Streaming,
 	}
-	klog.InfoS("sent", "request", j.ID, "upstream", a.Upstream, "attempt", len(j.tried), "left", send.Budget,
+	klog.InfoS("sent", "request", j.ID, "upstream", a.Upstream, "software", a.Software, "attempt", len(j.tried), "left", send.Budget,
 		"rank", a.Rank, "prefill", a.Prefill, "copied", a.Copied, "ahead", a.PrefillAhead, "expected", a.Expected, "news", a.LoadReports, "age", a.ReportAge)
 	response, err := j.router.forward.Send(ctx, j.Request, send)
 	if err != nil {
--- a/router/pools.go
+++ b/router/pools.go
@@ -30,7 +30,7 @@
 		upstreams[e.Upstream] = e
 		byService[e.Service] = append(byService[e.Service], e)
 		if _, existed := p.upstreams[e.Upstream]; !existed {
-			klog.InfoS("upstream usable", "upstream", e.Upstream, "service", e.Service, "address", e.Address)
+			klog.InfoS("upstream usable", "upstream", e.Upstream, "service", e.Service, "address", e.Address, "software", e.Software)
 		}
 	}
 	for name, e := range p.upstreams {
--- a/router/serve.go
+++ b/router/serve.go
@@ -150,7 +150,7 @@
 	j.service = j.route.PickService(rand.Float64())
 	j.deadline = j.arrived.Add(j.timeout())
 	klog.InfoS("received", "request", j.ID, "route", j.route.Name, "service", j.service, "workspace", j.workspaceName(),
-		"urgency", j.urgency, "version", j.version, "left", j.timeout(), "caller", request.RemoteAddr)
+		"urgency", j.urgency, "version", j.version, "left", j.timeout(), "resumes", parsed.Resumes, "caller", request.RemoteAddr)
 	if !r.canFinish(j) {
 		return j, instanceDraining
 	}
--- a/router/stream.go
+++ b/router/stream.go
@@ -165,7 +165,7 @@
 			return nil
 		}
 		if result == answered {
-			klog.InfoS("stream resumed", "request", j.ID, "upstream", a.Upstream, "last", p.lastEvent)
+			klog.InfoS("stream resumed", "request", j.ID, "upstream", a.Upstream, "software", a.Software, "last", p.lastEvent)
 			return a
 		}
 		j.logFailedAttempt(a, result, false, err)
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -14,6 +14,10 @@
 // or a worker of a plain service.
 type Upstream string
 
+// SoftwareVersion names a version of the software of an upstream; it says nothing of
+// the weights of its models.
+type SoftwareVersion string
+
 // FailureDomain names a set of hosts that can fail together.
 type FailureDomain string
 
--- a/state/requestlog/trace.go
+++ b/state/requestlog/trace.go
@@ -39,6 +39,8 @@
 	Version        uint64        `json:"version,omitempty"`
 	Urgency        int           `json:"urgency,omitempty"`
 	Upstream       string        `json:"upstream,omitempty"`
+	Software       string        `json:"software,omitempty"`
+	Resumes        string        `json:"resumes,omitempty"`
 	Outcome        string        `json:"outcome,omitempty"`
 	Reason         string        `json:"reason,omitempty"`
 	Error          string        `json:"err,omitempty"`
@@ -203,10 +205,14 @@
 func (e Event) describe() string {
 	switch e.Message {
 	case "received":
-		return fmt.Sprintf("received: route %s, service %s, workspace %s, urgency %d, routes version %d, timeout %s",
+		text := fmt.Sprintf("received: route %s, service %s, workspace %s, urgency %d, routes version %d, timeout %s",
 			e.Route, e.Service, e.Workspace, e.Urgency, e.Version, e.Remaining.Round(time.Millisecond))
+		if e.Resumes != "" {
+			text += ", goes on with the stream of " + e.Resumes
+		}
+		return text
 	case "sent":
-		return fmt.Sprintf("sent to %s, attempt %d, %s left: %s", e.Upstream, e.Attempt, e.Remaining.Round(time.Millisecond), e.choiceReason())
+		return fmt.Sprintf("sent to %s, software %s, attempt %d, %s left: %s", e.Upstream, cmp.Or(e.Software, "unknown"), e.Attempt, e.Remaining.Round(time.Millisecond), e.choiceReason())
 	case "retry budget spent":
 		return fmt.Sprintf("not retried: %.0f retries to %s in the last window, %.1f allowed", e.RetriesSpent, e.Service, e.RetriesAllowed)
 	case "attempt failed":
