router: go on with a broken stream only at the software version that began it

Cause: an engine for the rest of a broken stream was chosen as for a new request, without regard to its version. Once an event is delivered, only upstreams of that version are candidates; where there is none, the answer breaks off and does not look complete.

--- a/coordination/balancer/candidates.go
+++ b/coordination/balancer/candidates.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"samphirehead/coordination/registry"
 	"samphirehead/state/id"
 )
 
@@ -13,7 +14,7 @@
 	var available, ejected []*upstream
 	for _, u := range c.upstreams {
 		switch {
-		case !r.allows(u.Upstream):
+		case !r.allows(u.Entry):
 		case u.ejected(now):
 			ejected = append(ejected, u)
 		default:
@@ -34,8 +35,11 @@
 	return usable, Chosen
 }
 
-func (r Request) allows(u id.Upstream) bool {
-	return !slices.Contains(r.Excluded, u) && (r.Admits == nil || r.Admits(u))
+func (r Request) allows(e registry.Entry) bool {
+	if r.Software != nil && e.Software != *r.Software {
+		return false
+	}
+	return !slices.Contains(r.Excluded, e.Upstream) && (r.Admits == nil || r.Admits(e.Upstream))
 }
 
 // full reports whether an upstream lacks a slot or the memory for a request. An
--- a/coordination/balancer/chooser.go
+++ b/coordination/balancer/chooser.go
@@ -35,6 +35,9 @@
 	// OutputTokens is the limit on the answer; 0 if the caller set none.
 	OutputTokens id.Tokens
 	Excluded     []id.Upstream
+	// Software, unless nil, is the only software version that may be chosen: the one
+	// that began the stream which the request goes on with.
+	Software *id.SoftwareVersion
 	// Admits, unless nil, reports whether an upstream may be chosen.
 	Admits func(id.Upstream) bool
 	// Resubmitted is set for a request that was tried or refused before.
--- a/coordination/balancer/engine.go
+++ b/coordination/balancer/engine.go
@@ -45,10 +45,15 @@
 
 // chooseEngine returns the cheapest engine of those that run the request's kind. If
 // they are overloaded, any engine may run it: running beside requests of the other
-// kind is better than starting after the objective.
+// kind is better than starting after the objective. The engines of a single software
+// version are not divided by kinds, which follow the demand for all engines.
 func (c *Chooser) chooseEngine(now time.Time, r Request, candidates []*upstream) (*upstream, Choice) {
 	kind := c.kindOf(r)
-	ranked := rankByAffinity(c.enginesFor(now, kind, candidates), affinityKey(r.Parts))
+	engines := candidates
+	if r.Software == nil {
+		engines = c.enginesFor(now, kind, candidates)
+	}
+	ranked := rankByAffinity(engines, affinityKey(r.Parts))
 	source := c.copySource(now, r, nil)
 	best, choice, cost := c.cheapest(now, r, kind, ranked, source)
 	if kind == sensitive && cost > r.Objective || kind == bulk && choice.Expected > r.maxStartDelay() {
--- a/router/serve.go
+++ b/router/serve.go
@@ -80,6 +80,9 @@
 	sharedParts []id.Fingerprint
 	// tried holds the upstreams that the request was sent to, in order.
 	tried []id.Upstream
+	// software is the version of the upstream that began the stream; nil until an event
+	// was delivered.
+	software *id.SoftwareVersion
 	// responses holds the answers that are to be released at the end.
 	responses []*forward.Response
 	// possibleRuns counts the upstreams that may have run the request.
@@ -316,6 +319,7 @@
 		PauseObjective: j.route.PauseObjective,
 		Urgency:        j.urgency,
 		Excluded:       j.tried,
+		Software:       j.software,
 		Admits:         admission.Admits,
 		Resubmitted:    len(j.tried) > 0 || r.refused.contains(j.digest),
 
--- a/router/stream.go
+++ b/router/stream.go
@@ -150,6 +150,7 @@
 		return
 	}
 	p.started = true
+	p.job.software = &a.Software
 	p.firstEventAt = time.Now()
 	p.job.setHeader(a)
 	p.job.w.WriteHeader(a.response.Status)
