router: go on with a stream that its caller takes up only at the version that began it

Cause: Resumes was not read, and no instance knew where a stream of another one, or of its own former process, had begun.

coordination/resumption tracks where streams began. While a service has several versions instances publish that in the platform's store; with a single one, only its name. A take-up whose origin is not known is refused with a true 503.

--- /dev/null
+++ b/coordination/resumption/resumption.go
@@ -0,0 +1,326 @@
+// Package resumption decides where a broken stream may go on: only at the software
+// version of the service that began it, since what two versions write does not fit
+// together. A Tracker is a deterministic state machine: time is passed in with each call.
+//
+// Each instance knows where its own streams began. While a service has several versions,
+// it also publishes that, because its caller may take a stream up at another instance
+// after this one has ended. While there is only one, nothing needs to be published but
+// its name.
+package resumption
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"samphirehead/state/id"
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service  id.Service
+	Software id.SoftwareVersion
+}
+
+func compare(a, b Origin) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Software, b.Software))
+}
+
+// Event is an input of a Tracker.
+type Event interface{ event() }
+
+// VersionsListed reports the versions that the listed upstreams of services with
+// resumable streams have. It replaces the previous list.
+type VersionsListed struct {
+	Origins []Origin
+	// Wait is the longest time from the start of a stream until its caller no longer
+	// takes it up.
+	Wait time.Duration
+}
+
+// StreamSent reports that a stream was sent to an upstream, where its first event is
+// expected to come from. Request is the caller's first attempt at the stream.
+type StreamSent struct {
+	Request id.Request
+	Origin  Origin
+}
+
+// StreamCompleted reports that the caller has the whole stream.
+type StreamCompleted struct{ Request id.Request }
+
+// PublicationRead reports what instances have published.
+type PublicationRead struct{ Publication }
+
+// Published reports that a change was published.
+type Published struct{ Change }
+
+// PublishFailed reports that a change may not be published.
+type PublishFailed struct{}
+
+// PublicationLost reports that what was published may be lost.
+type PublicationLost struct{}
+
+func (VersionsListed) event()  {}
+func (StreamSent) event()      {}
+func (StreamCompleted) event() {}
+func (PublicationRead) event() {}
+func (Published) event()       {}
+func (PublishFailed) event()   {}
+func (PublicationLost) event() {}
+
+// Publisher identifies the process of one instance.
+type Publisher struct {
+	Instance    id.Instance
+	Incarnation id.Incarnation
+}
+
+// Publication is what all instances have published.
+type Publication struct {
+	// Versions are those that streams may have begun at.
+	Versions []Origin
+	// Streams holds where streams began, by the caller's first attempt.
+	Streams map[id.Request]Origin
+}
+
+// Change is what one instance has to publish.
+type Change struct {
+	Add, Remove []Origin
+	// Streams replaces the streams of this instance, unless it is nil.
+	Streams map[id.Request]Origin
+}
+
+// Empty reports whether there is nothing to publish.
+func (c Change) Empty() bool { return len(c.Add) == 0 && len(c.Remove) == 0 && c.Streams == nil }
+
+// completedTime is how long a stream is remembered after this instance has written its last
+// event: the caller may not have received it.
+const completedTime = 2 * time.Second
+
+// Tracker holds what one instance knows of the streams that may be resumed. The zero
+// value is ready. It is not safe for concurrent use.
+type Tracker struct {
+	wait time.Duration
+	// listedSince is when versions were first listed; zero before. readOnce is set once a
+	// publication was read.
+	listedSince time.Time
+	readOnce    bool
+
+	versions map[Origin]*version
+	streams  map[id.Request]stream
+	// unpublished is set while a stream was sent that is not published, and
+	// hasPublished while streams of this instance are published.
+	unpublished, hasPublished bool
+	// mixed is whether the services had several versions at the last change.
+	mixed map[id.Service]bool
+}
+
+// version is a version that streams may have begun at.
+type version struct {
+	listed, published bool
+	// seenAt is when it was last listed or read in a publication.
+	seenAt time.Time
+}
+
+type stream struct {
+	origin Origin
+	// forgetAt is when the caller no longer takes the stream up.
+	forgetAt time.Time
+}
+
+// Step applies ev at now.
+func (t *Tracker) Step(now time.Time, ev Event) {
+	if t.versions == nil {
+		t.versions = make(map[Origin]*version)
+		t.streams = make(map[id.Request]stream)
+		t.mixed = make(map[id.Service]bool)
+	}
+	switch ev := ev.(type) {
+	case VersionsListed:
+		t.list(now, ev)
+	case StreamSent:
+		t.streams[ev.Request] = stream{ev.Origin, now.Add(t.wait)}
+		t.unpublished = true
+	case StreamCompleted:
+		if s, ok := t.streams[ev.Request]; ok {
+			s.forgetAt = now.Add(min(t.wait, completedTime))
+			t.streams[ev.Request] = s
+		}
+	case PublicationRead:
+		t.read(now, ev.Publication)
+	case Published:
+		t.published(ev.Change)
+	case PublishFailed:
+		t.unpublished = true
+	case PublicationLost:
+		for _, v := range t.versions {
+			v.published = v.published && !t.possible(now, v)
+		}
+		t.unpublished = true
+	}
+}
+
+func (t *Tracker) list(now time.Time, ev VersionsListed) {
+	t.wait = ev.Wait
+	if t.listedSince.IsZero() {
+		t.listedSince = now
+	}
+	for _, v := range t.versions {
+		if v.listed {
+			v.seenAt = now
+		}
+	}
+	for origin, v := range t.versions {
+		v.listed = v.listed && slices.Contains(ev.Origins, origin)
+	}
+	for _, origin := range ev.Origins {
+		v := t.version(origin)
+		if !v.listed {
+			// Another instance may be about to remove what was published.
+			v.published = false
+		}
+		v.listed, v.seenAt = true, now
+	}
+}
+
+func (t *Tracker) version(origin Origin) *version {
+	v, ok := t.versions[origin]
+	if !ok {
+		v = &version{}
+		t.versions[origin] = v
+	}
+	return v
+}
+
+func (t *Tracker) read(now time.Time, p Publication) {
+	t.readOnce = true
+	for _, origin := range p.Versions {
+		v := t.version(origin)
+		if v.seenAt.IsZero() {
+			v.seenAt = now
+		}
+		v.published = true
+	}
+}
+
+func (t *Tracker) published(c Change) {
+	for _, origin := range c.Add {
+		t.version(origin).published = true
+	}
+	for _, origin := range c.Remove {
+		if v, ok := t.versions[origin]; ok && !v.listed {
+			delete(t.versions, origin)
+		}
+	}
+	if c.Streams != nil {
+		t.hasPublished = len(c.Streams) > 0
+	}
+}
+
+// Next returns what this instance has to publish, which is nothing before versions were
+// listed. Published or PublishFailed must follow.
+func (t *Tracker) Next(now time.Time) Change {
+	var c Change
+	if t.listedSince.IsZero() {
+		return c
+	}
+	for origin, v := range t.versions {
+		switch {
+		case t.possible(now, v) && !v.published:
+			c.Add = append(c.Add, origin)
+		case !t.possible(now, v) && v.published:
+			c.Remove = append(c.Remove, origin)
+		case !t.possible(now, v):
+			delete(t.versions, origin)
+		}
+	}
+	slices.SortFunc(c.Add, compare)
+	slices.SortFunc(c.Remove, compare)
+	c.Streams = t.nextStreams(now)
+	return c
+}
+
+// nextStreams returns the streams to publish: all that began at services with several
+// versions. It returns nil if those are published, and no streams if none need to be.
+func (t *Tracker) nextStreams(now time.Time) map[id.Request]Origin {
+	maps.DeleteFunc(t.streams, func(_ id.Request, s stream) bool { return now.After(s.forgetAt) })
+	mixed := make(map[id.Service]bool)
+	for origin := range t.versions {
+		mixed[origin.Service] = len(t.Possible(now, origin.Service)) > 1
+	}
+	changed := !maps.Equal(mixed, t.mixed)
+	t.mixed = mixed
+	if !t.unpublished && !changed {
+		return nil
+	}
+	t.unpublished = false
+	streams := make(map[id.Request]Origin)
+	for request, s := range t.streams {
+		if mixed[s.origin.Service] {
+			streams[request] = s.origin
+		}
+	}
+	if len(streams) == 0 && !t.hasPublished {
+		return nil
+	}
+	return streams
+}
+
+// possible reports whether streams that callers may still take up may have begun at a
+// version.
+func (t *Tracker) possible(now time.Time, v *version) bool {
+	return v.listed || t.listedSince.IsZero() || now.Sub(v.seenAt) <= t.wait
+}
+
+// Possible returns the versions of a service that a stream may have begun at which its
+// caller still waits for, in order.
+func (t *Tracker) Possible(now time.Time, service id.Service) []Origin {
+	var possible []Origin
+	for origin, v := range t.versions {
+		if origin.Service == service && t.possible(now, v) {
+			possible = append(possible, origin)
+		}
+	}
+	slices.SortFunc(possible, compare)
+	return possible
+}
+
+// knowsVersions reports whether this instance would know of any other version that a stream
+// may have begun at.
+func (t *Tracker) knowsVersions(now time.Time) bool {
+	return t.readOnce || !t.listedSince.IsZero() && now.Sub(t.listedSince) > t.wait
+}
+
+// Own returns where a stream began that this instance has sent.
+func (t *Tracker) Own(request id.Request) (Origin, bool) {
+	s, ok := t.streams[request]
+	return s.origin, ok
+}
+
+// Find returns where a stream began at one of the services. published is what instances
+// have published, or nil if that can't be read. A stream that no instance has published
+// can have begun at a single version only if there is no other.
+func (t *Tracker) Find(now time.Time, request id.Request, services []id.Service, published *Publication) (Origin, bool) {
+	if origin, ok := t.Own(request); ok {
+		return origin, true
+	}
+	var possible []Origin
+	for _, service := range services {
+		possible = append(possible, t.Possible(now, service)...)
+	}
+	if published != nil {
+		if origin, ok := published.Streams[request]; ok {
+			return origin, true
+		}
+		for _, origin := range published.Versions {
+			if slices.Contains(services, origin.Service) && !slices.Contains(possible, origin) {
+				possible = append(possible, origin)
+			}
+		}
+	}
+	onlyOne := len(possible) == 1 && (published != nil || t.knowsVersions(now))
+	if !onlyOne {
+		return Origin{}, false
+	}
+	return possible[0], true
+}
--- a/protocol/call/call.go
+++ b/protocol/call/call.go
@@ -34,6 +34,8 @@
 	// Resumes is the id of the request that brought the caller the first event of the
 	// stream that this one goes on with; empty for a new request.
 	Resumes id.Request
+	// LastEventID is the id of the last event that the caller has; empty for a new request.
+	LastEventID string
 }
 
 // SendOptions are the parameters of sending a request to one upstream.
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -145,6 +145,7 @@
 	}
 	a := &attempt{Choice: chosen, ticket: ticket, sentAt: time.Now()}
 	j.tried = append(j.tried, chosen.Upstream)
+	j.recordStream(chosen)
 	send := call.SendOptions{
 		Upstream:      chosen.Upstream,
 		Address:       chosen.Address,
--- /dev/null
+++ b/router/origins.go
@@ -0,0 +1,223 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/balancer"
+	"samphirehead/coordination/registry"
+	"samphirehead/coordination/resumption"
+	"samphirehead/state/id"
+	"samphirehead/state/routing"
+)
+
+const (
+	// takeUpMargin is how much longer than the timeout of its route a caller is expected
+	// to wait for a stream.
+	takeUpMargin = 10 * time.Second
+	// originsInterval is the interval at which is checked what to publish, and
+	// originsPause the shortest pause between two publications.
+	originsInterval = time.Second
+	originsPause    = 100 * time.Millisecond
+	// publishedStreamBytes is about the size of one published stream, and
+	// maxOriginsRate, in bytes a second, bounds the publications of an instance.
+	publishedStreamBytes = 26
+	maxOriginsRate       = 4 << 10
+)
+
+// origins tracks where streams began that callers may take up again. tracker is guarded by
+// Router.mu.
+type origins struct {
+	tracker resumption.Tracker
+	// unpublished receives a value when there may be something to publish.
+	unpublished chan struct{}
+	reads       singleflight.Group
+}
+
+func (o *origins) init() { o.unpublished = make(chan struct{}, 1) }
+
+func (o *origins) notify() {
+	select {
+	case o.unpublished <- struct{}{}:
+	default:
+	}
+}
+
+// listVersions passes the software versions of the usable upstreams of services with
+// resumable streams to the tracker. Router.mu must be held.
+func (o *origins) listVersions(now time.Time, table *routing.Table, usable []registry.Entry) {
+	services := make(map[id.Service]bool)
+	listed := resumption.VersionsListed{}
+	for route := range table.Routes() {
+		if !route.Resumable {
+			continue
+		}
+		for _, target := range route.Targets {
+			services[target.Service] = true
+		}
+		timeout := route.Timeout
+		if timeout <= 0 {
+			timeout = defaultTimeout
+		}
+		listed.Wait = max(listed.Wait, timeout+takeUpMargin)
+	}
+	known := make(map[resumption.Origin]bool)
+	for _, e := range usable {
+		origin := resumption.Origin{Service: e.Service, Software: e.Software}
+		if services[e.Service] && !known[origin] {
+			known[origin] = true
+			listed.Origins = append(listed.Origins, origin)
+		}
+	}
+	o.tracker.Step(now, listed)
+	o.notify()
+}
+
+// publishOrigins reads what other instances have published of streams and versions, and
+// publishes those of this instance, until ctx ends.
+func (r *Router) publishOrigins(ctx context.Context) error {
+	read := false
+	for {
+		if !read {
+			_, err := r.readOrigins(ctx)
+			read = err == nil
+		}
+		pause := r.publishNext(ctx)
+		sleep(ctx, pause)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.origins.unpublished:
+		case <-time.After(originsInterval):
+		}
+	}
+}
+
+// publishNext publishes what is to be published now, and returns how long to wait until the
+// next publication.
+func (r *Router) publishNext(ctx context.Context) time.Duration {
+	r.mu.Lock()
+	change := r.origins.tracker.Next(time.Now())
+	r.mu.Unlock()
+	if change.Empty() {
+		return originsPause
+	}
+	err := r.Platform.PublishOrigins(ctx, r.publisher(), change)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		klog.InfoS("stream origins not published", "err", err)
+		r.origins.tracker.Step(time.Now(), resumption.PublishFailed{})
+		return announceRetry
+	}
+	r.origins.tracker.Step(time.Now(), resumption.Published{Change: change})
+	size := time.Duration(len(change.Streams)) * publishedStreamBytes
+	return max(originsPause, size*time.Second/maxOriginsRate)
+}
+
+// publisher identifies this process among those that publish streams.
+func (r *Router) publisher() resumption.Publisher {
+	return resumption.Publisher{Instance: r.Settings.Instance, Incarnation: r.membership.Self.Incarnation}
+}
+
+// errPlatformUnreachable means that the platform has not answered the last call of a watch.
+var errPlatformUnreachable = errors.New("platform is not reachable")
+
+// readOrigins reads what instances have published. Concurrent calls share one read. It does
+// not wait for a platform that is known not to answer.
+func (r *Router) readOrigins(ctx context.Context) (*resumption.Publication, error) {
+	if !r.upstreams.reachable.Load() {
+		return nil, errPlatformUnreachable
+	}
+	result := r.origins.reads.DoChan("", func() (any, error) {
+		publication, err := r.Platform.ReadOrigins(context.WithoutCancel(ctx))
+		if err != nil {
+			klog.InfoS("stream origins not read", "err", err)
+			return nil, err
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.origins.tracker.Step(time.Now(), resumption.PublicationRead{Publication: publication})
+		return &publication, nil
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case read := <-result:
+		publication, _ := read.Val.(*resumption.Publication)
+		return publication, read.Err
+	}
+}
+
+// streamID returns the id of the caller's first attempt at the stream.
+func (j *job) streamID() id.Request {
+	if j.Resumes != "" {
+		return j.Resumes
+	}
+	return j.ID
+}
+
+// takesUp reports whether the caller goes on with a stream that it has events of.
+func (j *job) takesUp() bool {
+	return j.route.Resumable && (j.Resumes != "" || j.LastEventID != "")
+}
+
+// findOrigin binds a request that takes a stream up to the service and the software version
+// that began it. It returns false if these are not known, or the route no longer leads
+// there.
+func (j *job) findOrigin(ctx context.Context) bool {
+	r := j.router
+	var services []id.Service
+	for _, target := range j.route.Targets {
+		services = append(services, target.Service)
+	}
+	r.mu.Lock()
+	origin, known := r.origins.tracker.Own(j.Resumes)
+	r.mu.Unlock()
+	if !known {
+		published, err := r.readOrigins(ctx)
+		r.mu.Lock()
+		origin, known = r.origins.tracker.Find(time.Now(), j.Resumes, services, published)
+		r.mu.Unlock()
+		klog.InfoS("stream origin sought", "request", j.ID, "resumes", j.Resumes, "found", known,
+			"service", origin.Service, "software", origin.Software, "err", err)
+	}
+	for _, service := range services {
+		if known && service == origin.Service {
+			j.service, j.software = service, &origin.Software
+			return true
+		}
+	}
+	return false
+}
+
+// recordStream records to which software version a stream that may be resumed is sent.
+func (j *job) recordStream(chosen balancer.Choice) {
+	if !j.route.Resumable {
+		return
+	}
+	r := j.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.origins.tracker.Step(now, resumption.StreamSent{
+		Request: j.streamID(), Origin: resumption.Origin{Service: j.service, Software: chosen.Software},
+	})
+	if len(r.origins.tracker.Possible(now, j.service)) > 1 {
+		r.origins.notify()
+	}
+}
+
+// streamCompleted records that the caller was sent the whole stream.
+func (j *job) streamCompleted() {
+	if !j.route.Resumable {
+		return
+	}
+	j.router.mu.Lock()
+	defer j.router.mu.Unlock()
+	j.router.origins.tracker.Step(time.Now(), resumption.StreamCompleted{Request: j.streamID()})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"samphirehead/coordination/heartbeat"
 	"samphirehead/coordination/quarantine"
 	"samphirehead/coordination/registry"
+	"samphirehead/coordination/resumption"
 	"samphirehead/coordination/retrybudget"
 	"samphirehead/protocol/call"
 	"samphirehead/state/fault"
@@ -56,6 +57,11 @@
 	// Shared returns the peer addresses of all announced instances, and the stored
 	// quarantines.
 	Shared(ctx context.Context) (peerAddresses []string, quarantines []quarantine.Stored, err error)
+	// PublishOrigins publishes where streams began that the publisher has sent, and which
+	// software versions streams may have begun at. ReadOrigins returns what all have
+	// published.
+	PublishOrigins(ctx context.Context, publisher resumption.Publisher, change resumption.Change) error
+	ReadOrigins(ctx context.Context) (resumption.Publication, error)
 }
 
 // Handlers build the HTTP handlers whose form the platform prescribes.
@@ -104,6 +110,7 @@
 	quarantines      quarantines
 	lastTicket       uint64
 	refused          refusedRequests
+	origins          origins
 
 	inFlight atomic.Int64
 	drain    drainer
@@ -165,6 +172,7 @@
 		return err
 	}
 	r.quarantines.init()
+	r.origins.init()
 	r.throttles = make(throttles)
 	r.platformRestored = make(chan struct{}, 1)
 	r.applyRetries(r.Settings)
@@ -264,6 +272,7 @@
 		{Name: "exchange", Run: r.gossip},
 		{Name: "announcement", Run: r.announce},
 		{Name: "quarantines", Run: r.storeQuarantines},
+		{Name: "stream origins", Run: r.publishOrigins},
 		{Name: "drain", Run: r.waitForDrain},
 	}
 	for endpoint, l := range r.listeners {
--- a/router/serve.go
+++ b/router/serve.go
@@ -54,6 +54,7 @@
 	noUpstream         reason = "no_upstream"
 	overloaded         reason = "overloaded"
 	upstreamLimit      reason = "upstream_limit"
+	originUnknown      reason = "origin_unknown"
 	notRun             reason = "not_run"
 	timedOut           reason = "timed_out"
 	outcomeUnknown     reason = "outcome_unknown"
@@ -160,6 +161,9 @@
 	if why := j.readBody(request, table.Limits); why != "" {
 		return j, why
 	}
+	if j.takesUp() && !j.findOrigin(request.Context()) {
+		return j, originUnknown
+	}
 	j.digest = r.Dialect.Digest(parsed)
 	for _, name := range j.sharedPartNames() {
 		j.sharedParts = append(j.sharedParts, quarantine.PartFingerprint(name))
--- a/router/stream.go
+++ b/router/stream.go
@@ -25,6 +25,7 @@
 		if err == nil {
 			j.router.stepChooser(j.service, balancer.Paused{Ticket: a.ticket, Longest: p.longestPause})
 			j.router.stepChooser(j.service, balancer.Ended{Ticket: a.ticket})
+			j.streamCompleted()
 			j.recordCompletion(a, p, nil)
 			return
 		}
--- a/router/tables.go
+++ b/router/tables.go
@@ -9,6 +9,7 @@
 
 	"samphirehead/coordination/heartbeat"
 	"samphirehead/coordination/registry"
+	"samphirehead/coordination/resumption"
 	"samphirehead/state/mirror"
 	"samphirehead/state/routing"
 )
@@ -133,6 +134,8 @@
 		case r.platformRestored <- struct{}{}:
 		default:
 		}
+		r.origins.tracker.Step(time.Now(), resumption.PublicationLost{})
+		r.origins.notify()
 	}
 	r.upstreamsEra = era
 }
@@ -152,6 +155,8 @@
 		return
 	}
 	now := time.Now()
-	gone := r.pools.configure(now, table, r.registry.Usable(), r.Settings.FailureDomain)
+	usable := r.registry.Usable()
+	r.origins.listVersions(now, table, usable)
+	gone := r.pools.configure(now, table, usable, r.Settings.FailureDomain)
 	r.throttles.configure(now, table, gone)
 }
--- a/state/requestlog/trace.go
+++ b/state/requestlog/trace.go
@@ -128,6 +128,7 @@
 	"no_upstream":      "no upstream of the service was left to try",
 	"overloaded":       "requests ahead of it would have delayed its start beyond its objective; the request did not run",
 	"upstream_limit":   "the upstreams that could run it take fewer requests than arrive, or asked for a pause; the request did not run",
+	"origin_unknown":   "it goes on with a stream of which it is not known at which software version it began; the request did not run",
 	"not_run":          "none of the upstreams tried ran the request",
 	"timed_out":        "the deadline passed before an upstream had answered completely",
 	"outcome_unknown":  "an upstream failed or gave no usable answer; the request may have run and could not be retried",
