throttle: let one instance decide on requests to a limited upstream while there are few

Cause: the first request at each instance found no requests anywhere in what it had heard, and was admitted for certain. Reports can't tell in time; so below 40 requests a second in all, the home of the limit decides by a token bucket, and is asked where no other upstream is left.

Bounds are unchanged.

--- a/coordination/throttle/admission.go
+++ b/coordination/throttle/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"samphirehead/state/id"
@@ -13,6 +14,11 @@
 	limits      map[id.Upstream]*limit
 	now         time.Time
 	instances   int
+	// throttle is nil if no upstream has a limit.
+	throttle *Throttle
+	// permitted holds the upstreams whose home has granted a permit, and undecided those
+	// whose home has to be asked for one.
+	permitted, undecided []id.Upstream
 	// total is the rate of requests at all instances, and position the draw, from 0
 	// to below total.
 	total, position float64
@@ -28,7 +34,7 @@
 	t.draws++
 	if len(t.limited) > 0 {
 		_, draw := math.Modf(t.FirstDraw + t.draws*drawStep)
-		a.limits, a.instances, a.total = t.limits, t.instances, t.totalRate(now)
+		a.throttle, a.limits, a.instances, a.total = t, t.limits, len(t.instances), t.totalRate(now)
 		a.position = draw * a.total
 	}
 	t.requests.decay(now, rateTimeConstant)
@@ -40,12 +46,40 @@
 func (a *Admission) Admits(upstream id.Upstream) bool {
 	admitted := !a.now.Before(a.pausedUntil[upstream])
 	if l := a.limits[upstream]; admitted && l != nil && l.rate >= 0 {
-		admitted = l.drawn(a) && !l.exceeded(a.now, a.instances)
+		admitted = !l.exceeded(a.now, a.instances) && a.withinRate(l)
 	}
 	a.denied = a.denied || !admitted
 	return admitted
 }
 
+// withinRate reports whether a request may be sent to an upstream whose limit is not
+// exceeded.
+func (a *Admission) withinRate(l *limit) bool {
+	switch {
+	case slices.Contains(a.permitted, l.upstream):
+		return true
+	case a.instances < 2 || a.total >= quietRate:
+		return l.drawn(a)
+	case a.throttle.Home(l.upstream) == a.throttle.Self:
+		permitted := l.permits.take(a.now, l.permitRate())
+		if permitted {
+			a.permitted = append(a.permitted, l.upstream)
+		}
+		return permitted
+	}
+	if !slices.Contains(a.undecided, l.upstream) {
+		a.undecided = append(a.undecided, l.upstream)
+	}
+	return false
+}
+
+// Undecided returns the upstreams that were not admitted because their homes have to be
+// asked for a permit, in the order in which they were considered.
+func (a *Admission) Undecided() []id.Upstream { return a.undecided }
+
+// Permitted admits the request to an upstream whose home has granted a permit.
+func (a *Admission) Permitted(upstream id.Upstream) { a.permitted = append(a.permitted, upstream) }
+
 // drawn reports whether the draw of a request falls to the upstream.
 func (l *limit) drawn(a *Admission) bool {
 	if l.usable() >= a.total {
--- a/coordination/throttle/limit.go
+++ b/coordination/throttle/limit.go
@@ -18,6 +18,8 @@
 	// instance reported last.
 	sent   decaying
 	others map[id.Instance]sentReport
+	// permits are those that this instance grants as the limit's home.
+	permits permits
 	// below is the sum of the usable rates of the limited upstreams before this one.
 	below float64
 }
--- a/coordination/throttle/throttle.go
+++ b/coordination/throttle/throttle.go
@@ -7,6 +7,10 @@
 // which they tell each other. This holds for any number of instances, and whether the
 // upstream is one of many or the only one left. They also tell each other how many they
 // sent, and admit none while that is clearly more than the limit allows.
+//
+// While there are few requests, an instance can't tell from what it has heard whether many
+// begin at this moment. Then one instance, the home of the limit, decides on each request;
+// the others ask it where no other upstream is left.
 package throttle
 
 import (
@@ -74,17 +78,17 @@
 	Report
 }
 
-// InstancesCounted reports how many instances are live, with this one.
-type InstancesCounted struct{ Instances int }
+// InstancesListed reports which instances are live, this one among them.
+type InstancesListed struct{ Instances []id.Instance }
 
 // Gone reports that an upstream ended. What it asked for is forgotten.
 type Gone struct{ Upstream id.Upstream }
 
-func (Answered) event()         {}
-func (Sent) event()             {}
-func (ReportReceived) event()   {}
-func (InstancesCounted) event() {}
-func (Gone) event()             {}
+func (Answered) event()        {}
+func (Sent) event()            {}
+func (ReportReceived) event()  {}
+func (InstancesListed) event() {}
+func (Gone) event()            {}
 
 // Report is what an instance tells the others.
 type Report struct {
@@ -106,9 +110,11 @@
 	Age time.Duration
 }
 
-// Throttle admits requests to the upstreams of one service. Set its exported field
+// Throttle admits requests to the upstreams of one service. Set its exported fields
 // before the first use. It is not safe for concurrent use.
 type Throttle struct {
+	// Self is this instance.
+	Self id.Instance
 	// FirstDraw is a random number from 0 to below 1, which differs between the
 	// instances.
 	FirstDraw float64
@@ -121,7 +127,7 @@
 	// requests counts those that asked for admission.
 	requests  decaying
 	draws     float64
-	instances int
+	instances []id.Instance
 	// reports is a ring of the last reports, and received counts all.
 	reports  [maxReports]rateReport
 	received int
@@ -144,7 +150,7 @@
 		}
 	case ReportReceived:
 		return t.receive(now, ev)
-	case InstancesCounted:
+	case InstancesListed:
 		t.instances = ev.Instances
 		t.expire(now)
 	case Gone:
@@ -266,7 +272,7 @@
 			n++
 		}
 	}
-	others := float64(max(t.instances-1, 0))
+	others := float64(max(len(t.instances)-1, 0))
 	if n == 0 {
 		return own * (1 + others)
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -138,7 +138,11 @@
 // received if a stream is resumed, otherwise empty. The attempt is nil if no
 // upstream was chosen.
 func (j *job) try(ctx context.Context, lastEvent string) (*attempt, outcome, error) {
-	chosen, ticket, refusal := j.choose()
+	admission := j.admission()
+	chosen, ticket, refusal := j.choose(admission)
+	if refusal == balancer.NoUpstream && j.askPermit(ctx, admission) {
+		chosen, ticket, refusal = j.choose(admission)
+	}
 	if refusal != balancer.Chosen {
 		j.refusal, j.expectedWait = refusal, chosen.Expected
 		return nil, rejected, nil
--- a/router/peers.go
+++ b/router/peers.go
@@ -42,7 +42,7 @@
 		case now := <-ticker.C:
 			start(r.stepMembership(heartbeat.Ticked{}))
 			r.logPeerChanges(now)
-			r.countInstances(now)
+			r.listInstances(now)
 		}
 	}
 }
@@ -71,11 +71,11 @@
 	}
 }
 
-// countInstances passes the number of live instances to the throttles.
-func (r *Router) countInstances(now time.Time) {
+// listInstances passes the live instances to the throttles.
+func (r *Router) listInstances(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.throttles.countInstances(now, len(r.membership.Live(now)))
+	r.throttles.listInstances(now, r.membership.Live(now))
 }
 
 // exchangeState exchanges state with one instance, and fetches its copies of
--- a/router/serve.go
+++ b/router/serve.go
@@ -13,6 +13,7 @@
 
 	"samphirehead/coordination/balancer"
 	"samphirehead/coordination/quarantine"
+	"samphirehead/coordination/throttle"
 	"samphirehead/protocol/call"
 	"samphirehead/state/id"
 	"samphirehead/state/metrics"
@@ -302,8 +303,15 @@
 	return j.workspace.Name
 }
 
+// admission draws to which upstreams with a limit the next attempt may be sent.
+func (j *job) admission() *throttle.Admission {
+	j.router.mu.Lock()
+	defer j.router.mu.Unlock()
+	return j.router.throttles.admit(time.Now(), j.service)
+}
+
 // choose reserves an upstream for the next attempt.
-func (j *job) choose() (balancer.Choice, balancer.Ticket, balancer.Refusal) {
+func (j *job) choose(admission *throttle.Admission) (balancer.Choice, balancer.Ticket, balancer.Refusal) {
 	r := j.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -315,7 +323,6 @@
 	r.lastTicket++
 	ticket := balancer.Ticket(r.lastTicket)
 	now := time.Now()
-	admission := r.throttles.admit(now, j.service)
 	chosen, refusal := chooser.Choose(now, balancer.Request{
 		Ticket:         ticket,
 		Parts:          j.Parts,
--- a/router/tables.go
+++ b/router/tables.go
@@ -158,5 +158,5 @@
 	usable := r.registry.Usable()
 	r.origins.listVersions(now, table, usable)
 	gone := r.pools.configure(now, table, usable, r.Settings.FailureDomain)
-	r.throttles.configure(now, table, gone)
+	r.throttles.configure(now, table, gone, r.Settings.Instance)
 }
--- a/router/throttles.go
+++ b/router/throttles.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"samphirehead/coordination/heartbeat"
 	"samphirehead/coordination/registry"
 	"samphirehead/coordination/throttle"
 	"samphirehead/protocol/exchange"
@@ -19,10 +20,10 @@
 
 // configure adds and removes throttles, so that there is one for each service. gone are
 // upstreams that ended.
-func (t throttles) configure(now time.Time, table *routing.Table, gone []registry.Entry) {
+func (t throttles) configure(now time.Time, table *routing.Table, gone []registry.Entry, self id.Instance) {
 	for service := range table.Services {
 		if t[service] == nil {
-			t[service] = &throttle.Throttle{FirstDraw: rand.Float64()}
+			t[service] = &throttle.Throttle{Self: self, FirstDraw: rand.Float64()}
 		}
 	}
 	for service := range t {
@@ -37,10 +38,14 @@
 	}
 }
 
-// countInstances passes on how many instances are live.
-func (t throttles) countInstances(now time.Time, instances int) {
+// listInstances passes on which instances are live.
+func (t throttles) listInstances(now time.Time, live []heartbeat.Record) {
+	listed := throttle.InstancesListed{}
+	for _, instance := range live {
+		listed.Instances = append(listed.Instances, instance.Instance)
+	}
 	for _, one := range t {
-		one.Step(now, throttle.InstancesCounted{Instances: instances})
+		one.Step(now, listed)
 	}
 }
 
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -19,8 +19,10 @@
 	dialTimeout = 300 * time.Millisecond
 	// swapTimeout bounds an exchange of states, fetchTimeout the fetch of a
 	// table.
-	swapTimeout    = 600 * time.Millisecond
-	fetchTimeout   = 2 * time.Second
+	swapTimeout  = 600 * time.Millisecond
+	fetchTimeout = 2 * time.Second
+	// permitTimeout bounds the wait for a permit: the caller of the request waits, too.
+	permitTimeout  = 150 * time.Millisecond
 	idleTimeout    = 10 * time.Second
 	maxIdlePerPeer = 2
 	// maxResponseBytes bounds a response. Tables are the largest ones.
@@ -59,6 +61,14 @@
 	return response, fault.Wrap("fetch table", address, err)
 }
 
+// Permit asks the instance at address for a permit.
+func (c *Client) Permit(ctx context.Context, address string, r *exchange.PermitRequest) (*exchange.PermitResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	response, err := c.clientOf(address).Permit(ctx, r)
+	return response, fault.Wrap("ask for a permit", address, err)
+}
+
 func (c *Client) clientOf(address string) exchange.Exchange {
 	c.once.Do(func() {
 		transport := &http.Transport{
