--- a/router/origins.go
+++ b/router/origins.go
@@ -27,6 +27,9 @@
 	// maxOriginsRate, in bytes a second, bounds the publications of an instance.
 	publishedStreamBytes = 26
 	maxOriginsRate       = 4 << 10
+	// originsWriteTime times the number of instances is the shortest pause between two
+	// publications: together, they write half as often as the store allows.
+	originsWriteTime = time.Second / 150
 )
 
 // origins tracks where streams began that callers may take up again. tracker is guarded by
@@ -116,7 +119,8 @@
 	}
 	r.origins.tracker.Step(time.Now(), resumption.Published{Change: change})
 	size := time.Duration(len(change.Streams)) * publishedStreamBytes
-	return max(originsPause, size*time.Second/maxOriginsRate)
+	instances := time.Duration(len(r.membership.Live(time.Now())))
+	return max(originsPause, size*time.Second/maxOriginsRate, instances*originsWriteTime)
 }
 
 // publisher identifies this process among those that publish streams.
