resumption: publish streams of routes that are split between services

What counts is now whether the streams of a route may have begun at more than one version or service.

--- a/coordination/resumption/resumption.go
+++ b/coordination/resumption/resumption.go
@@ -2,8 +2,8 @@
 // version of the service that began it, since what two versions write does not fit
 // together. A Tracker is a deterministic state machine: time is passed in with each call.
 //
-// Each instance knows where its own streams began. While a service has several versions,
-// it also publishes that, because its caller may take a stream up at another instance
+// Each instance knows where its own streams began. While those of a route may have begun at
+// several versions or services, it also publishes that, because its caller may take a stream up at another instance
 // after this one has ended. While there is only one, nothing needs to be published but
 // its name.
 package resumption
@@ -34,6 +34,8 @@
 // resumable streams have. It replaces the previous list.
 type VersionsListed struct {
 	Origins []Origin
+	// Routes holds the services that the streams of each route go to.
+	Routes [][]id.Service
 	// Wait is the longest time from the start of a stream until its caller no longer
 	// takes it up.
 	Wait time.Duration
@@ -100,7 +102,8 @@
 // Tracker holds what one instance knows of the streams that may be resumed. The zero
 // value is ready. It is not safe for concurrent use.
 type Tracker struct {
-	wait time.Duration
+	wait   time.Duration
+	routes [][]id.Service
 	// listedSince is when versions were first listed; zero before. readOnce is set once a
 	// publication was read.
 	listedSince time.Time
@@ -111,7 +114,7 @@
 	// unpublished is set while a stream was sent that is not published, and
 	// hasPublished while streams of this instance are published.
 	unpublished, hasPublished bool
-	// mixed is whether the services had several versions at the last change.
+	// mixed holds the services whose streams were to be published at the last change.
 	mixed map[id.Service]bool
 }
 
@@ -161,7 +164,7 @@
 }
 
 func (t *Tracker) list(now time.Time, ev VersionsListed) {
-	t.wait = ev.Wait
+	t.wait, t.routes = ev.Wait, ev.Routes
 	if t.listedSince.IsZero() {
 		t.listedSince = now
 	}
@@ -240,14 +243,11 @@
 	return c
 }
 
-// nextStreams returns the streams to publish: all that began at services with several
-// versions. It returns nil if those are published, and no streams if none need to be.
+// nextStreams returns the streams to publish: those of mixed services. It returns nil if
+// they are published, and no streams if none need to be.
 func (t *Tracker) nextStreams(now time.Time) map[id.Request]Origin {
 	maps.DeleteFunc(t.streams, func(_ id.Request, s stream) bool { return now.After(s.forgetAt) })
-	mixed := make(map[id.Service]bool)
-	for origin := range t.versions {
-		mixed[origin.Service] = len(t.Possible(now, origin.Service)) > 1
-	}
+	mixed := t.allMixed(now)
 	changed := !maps.Equal(mixed, t.mixed)
 	t.mixed = mixed
 	if !t.unpublished && !changed {
@@ -266,22 +266,39 @@
 	return streams
 }
 
+// allMixed returns the services with a route whose streams may have begun at more than one
+// origin.
+func (t *Tracker) allMixed(now time.Time) map[id.Service]bool {
+	mixed := make(map[id.Service]bool)
+	for _, services := range t.routes {
+		if len(t.possibleAt(now, services)) < 2 {
+			continue
+		}
+		for _, service := range services {
+			mixed[service] = true
+		}
+	}
+	return mixed
+}
+
+// Mixed reports whether the streams of a service are to be published.
+func (t *Tracker) Mixed(now time.Time, service id.Service) bool { return t.allMixed(now)[service] }
+
 // possible reports whether streams that callers may still take up may have begun at a
 // version.
 func (t *Tracker) possible(now time.Time, v *version) bool {
 	return v.listed || t.listedSince.IsZero() || now.Sub(v.seenAt) <= t.wait
 }
 
-// Possible returns the versions of a service that a stream may have begun at which its
-// caller still waits for, in order.
-func (t *Tracker) Possible(now time.Time, service id.Service) []Origin {
+// possibleAt returns where a stream of one of the services may have begun that its caller
+// still waits for, in any order.
+func (t *Tracker) possibleAt(now time.Time, services []id.Service) []Origin {
 	var possible []Origin
 	for origin, v := range t.versions {
-		if origin.Service == service && t.possible(now, v) {
+		if slices.Contains(services, origin.Service) && t.possible(now, v) {
 			possible = append(possible, origin)
 		}
 	}
-	slices.SortFunc(possible, compare)
 	return possible
 }
 
@@ -304,10 +321,7 @@
 	if origin, ok := t.Own(request); ok {
 		return origin, true
 	}
-	var possible []Origin
-	for _, service := range services {
-		possible = append(possible, t.Possible(now, service)...)
-	}
+	possible := t.possibleAt(now, services)
 	if published != nil {
 		if origin, ok := published.Streams[request]; ok {
 			return origin, true
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -22,7 +22,7 @@
 }
 
 func listed(software ...id.SoftwareVersion) resumption.VersionsListed {
-	ev := resumption.VersionsListed{Wait: wait}
+	ev := resumption.VersionsListed{Wait: wait, Routes: [][]id.Service{services}}
 	for _, s := range software {
 		ev.Origins = append(ev.Origins, at(s))
 	}
--- a/router/origins.go
+++ b/router/origins.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,26 +56,26 @@
 // listVersions passes the software versions of the usable upstreams of services with
 // resumable streams to the tracker. Router.mu must be held.
 func (o *origins) listVersions(now time.Time, table *routing.Table, usable []registry.Entry) {
-	services := make(map[id.Service]bool)
 	listed := resumption.VersionsListed{}
+	known := make(map[string]bool)
+	services := make(map[id.Service]bool)
 	for route := range table.Routes() {
 		if !route.Resumable {
 			continue
 		}
-		for _, target := range route.Targets {
-			services[target.Service] = true
+		listed.Wait = max(listed.Wait, cmp.Or(route.Timeout, defaultTimeout)+takeUpMargin)
+		targets := route.Services()
+		if name := fmt.Sprint(targets); !known[name] {
+			known[name] = true
+			listed.Routes = append(listed.Routes, targets)
 		}
-		timeout := route.Timeout
-		if timeout <= 0 {
-			timeout = defaultTimeout
+		for _, service := range targets {
+			services[service] = true
 		}
-		listed.Wait = max(listed.Wait, timeout+takeUpMargin)
 	}
-	known := make(map[resumption.Origin]bool)
 	for _, e := range usable {
 		origin := resumption.Origin{Service: e.Service, Software: e.Software}
-		if services[e.Service] && !known[origin] {
-			known[origin] = true
+		if services[e.Service] && !slices.Contains(listed.Origins, origin) {
 			listed.Origins = append(listed.Origins, origin)
 		}
 	}
@@ -175,10 +178,7 @@
 // there.
 func (j *job) findOrigin(ctx context.Context) bool {
 	r := j.router
-	var services []id.Service
-	for _, target := range j.route.Targets {
-		services = append(services, target.Service)
-	}
+	services := j.route.Services()
 	r.mu.Lock()
 	origin, known := r.origins.tracker.Own(j.Resumes)
 	r.mu.Unlock()
@@ -190,13 +190,11 @@
 		klog.InfoS("stream origin sought", "request", j.ID, "resumes", j.Resumes, "found", known,
 			"service", origin.Service, "software", origin.Software, "err", err)
 	}
-	for _, service := range services {
-		if known && service == origin.Service {
-			j.service, j.software = service, &origin.Software
-			return true
-		}
+	if !known || !slices.Contains(services, origin.Service) {
+		return false
 	}
-	return false
+	j.service, j.software = origin.Service, &origin.Software
+	return true
 }
 
 // recordStream records to which software version a stream that may be resumed is sent.
@@ -211,7 +209,7 @@
 	r.origins.tracker.Step(now, resumption.StreamSent{
 		Request: j.streamID(), Origin: resumption.Origin{Service: j.service, Software: chosen.Software},
 	})
-	if len(r.origins.tracker.Possible(now, j.service)) > 1 {
+	if r.origins.tracker.Mixed(now, j.service) {
 		r.origins.notify()
 	}
 }
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -205,6 +205,16 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// Services returns the services that the route sends requests to, in the order of its
+// targets.
+func (r *Route) Services() []id.Service {
+	services := make([]id.Service, len(r.Targets))
+	for i, target := range r.Targets {
+		services[i] = target.Service
+	}
+	return services
+}
+
 // Routes yields the routes of all hosts, in no particular order of hosts.
 func (t *Table) Routes() iter.Seq[*Route] {
 	return func(yield func(*Route) bool) {
