resumption: publish no completed streams, and more often

Cause: the pause between two publications grows with the row, and completed streams made up most of it. They are left out now, and the shortest pause is 50 ms.

--- a/coordination/resumption/resumption.go
+++ b/coordination/resumption/resumption.go
@@ -129,6 +129,8 @@
 	origin Origin
 	// forgetAt is when the caller no longer takes the stream up.
 	forgetAt time.Time
+	// completed is set once this instance has written the last event.
+	completed bool
 }
 
 // Step applies ev at now.
@@ -142,11 +144,11 @@
 	case VersionsListed:
 		t.list(now, ev)
 	case StreamSent:
-		t.streams[ev.Request] = stream{ev.Origin, now.Add(t.wait)}
+		t.streams[ev.Request] = stream{origin: ev.Origin, forgetAt: now.Add(t.wait)}
 		t.unpublished = true
 	case StreamCompleted:
 		if s, ok := t.streams[ev.Request]; ok {
-			s.forgetAt = now.Add(min(t.wait, completedTime))
+			s.forgetAt, s.completed = now.Add(min(t.wait, completedTime)), true
 			t.streams[ev.Request] = s
 		}
 	case PublicationRead:
@@ -243,7 +245,8 @@
 	return c
 }
 
-// nextStreams returns the streams to publish: those of mixed services. It returns nil if
+// nextStreams returns the streams to publish: those of mixed services that are not
+// completed. It returns nil if
 // they are published, and no streams if none need to be.
 func (t *Tracker) nextStreams(now time.Time) map[id.Request]Origin {
 	maps.DeleteFunc(t.streams, func(_ id.Request, s stream) bool { return now.After(s.forgetAt) })
@@ -256,7 +259,7 @@
 	t.unpublished = false
 	streams := make(map[id.Request]Origin)
 	for request, s := range t.streams {
-		if mixed[s.origin.Service] {
+		if mixed[s.origin.Service] && !s.completed {
 			streams[request] = s.origin
 		}
 	}
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -229,6 +229,24 @@
 	}
 }
 
+// Guards against publishing streams that nobody takes up: the longer the row is, the less
+// often it is written, and the more streams are unknown after a kill.
+func TestCompletedStreamsAreNotPublished(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newStore()
+	tracker := s.start(now, "v1", "v2")
+	tracker.Step(now, resumption.StreamSent{Request: "a", Origin: at("v1")})
+	tracker.Step(now, resumption.StreamSent{Request: "b", Origin: at("v1")})
+	tracker.Step(now, resumption.StreamCompleted{Request: "a"})
+	s.publish(now, "a", tracker)
+	if got := s.read().Streams; len(got) != 1 || got["b"] != at("v1") {
+		t.Errorf("published %v, want only b", got)
+	}
+	if _, known := tracker.Own("a"); !known {
+		t.Error("the caller may not have received the end of a, but its origin is forgotten")
+	}
+}
+
 // Guards against a published version or stream that is never removed, after which streams
 // would be refused, and against losing them with the writes of a restored store.
 func TestPublicationEndsAndIsRepeated(t *testing.T) {
--- a/router/origins.go
+++ b/router/origins.go
@@ -25,7 +25,7 @@
 	// originsInterval is the interval at which is checked what to publish, and
 	// originsPause the shortest pause between two publications.
 	originsInterval = time.Second
-	originsPause    = 100 * time.Millisecond
+	originsPause    = 50 * time.Millisecond
 	// publishedStreamBytes is about the size of one published stream, and
 	// maxOriginsRate, in bytes a second, bounds the publications of an instance.
 	publishedStreamBytes = 26
