quarantine: try which parts of prompts crash upstreams, so that sound ones are not locked out

Cause: under a crash all parts of a prompt are suspects, and once all are quarantined no request is sent whose answer could tell them apart.

A request with quarantined parts is now sent on trial if a refused one had these and more, or if it has just one and no suspect beside it; three instances make the trials of a part, each until one fails.

--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -167,6 +167,10 @@
 	// need, and since when.
 	clearances         *simplelru.LRU[id.Fingerprint, time.Time]
 	quarantinesStarted int
+	// trials holds those of quarantined fingerprints.
+	trials *simplelru.LRU[id.Fingerprint, trial]
+	// held holds the sets of the quarantined fingerprints of refused requests.
+	held *simplelru.LRU[string, []id.Fingerprint]
 }
 
 // Step applies ev at now and returns the effects to carry out, in order. The
@@ -281,6 +285,7 @@
 	f := r.Fingerprint
 	if t.isQuarantined(now, f) {
 		t.quarantined.Get(f)
+		t.trialCrashed(now, r)
 		return nil
 	}
 	if completedAt, ok := t.completions.Peek(f); ok {
@@ -307,6 +312,7 @@
 
 func (t *Tracker) quarantine(f id.Fingerprint, records []Record) []Effect {
 	t.suspects.Remove(f)
+	t.trials.Remove(f)
 	t.quarantined.Add(f, records)
 	t.quarantinesStarted++
 	return []Effect{Started{f, observedHere(records)}}
@@ -380,4 +386,6 @@
 	t.completions, _ = simplelru.NewLRU[id.Fingerprint, time.Time](limit, nil)
 	t.recent, _ = simplelru.NewLRU[id.Fingerprint, struct{}](min(limit, maxReported), nil)
 	t.clearances, _ = simplelru.NewLRU[id.Fingerprint, time.Time](min(limit, maxReported), nil)
+	t.trials, _ = simplelru.NewLRU[id.Fingerprint, trial](limit, nil)
+	t.held, _ = simplelru.NewLRU[string, []id.Fingerprint](maxHeld, nil)
 }
--- a/coordination/throttle/home.go
+++ b/coordination/throttle/home.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"samphirehead/coordination/rendezvous"
 	"samphirehead/state/id"
 )
 
@@ -44,14 +43,7 @@
 // Home returns the instance that grants permits for an upstream: the same at all instances
 // with the same view of which are live. It is empty if none is known.
 func (t *Throttle) Home(upstream id.Upstream) id.Instance {
-	var home id.Instance
-	highest := uint64(0)
-	for _, instance := range t.instances {
-		if s := xxhash.Sum64String(string(instance) + "/" + string(upstream)); home == "" || s > highest {
-			home, highest = instance, s
-		}
-	}
-	return home
+	return rendezvous.Home(string(upstream), t.instances)
 }
 
 // Permit reports whether this instance, as the home of the limit of an upstream, lets one
--- a/router/crash.go
+++ b/router/crash.go
@@ -26,6 +26,19 @@
 	return j.router.quarantines.contains(time.Now(), j.digest, j.sharedParts)
 }
 
+// trial reports whether the request is sent though parts of its prompt are quarantined.
+func (j *job) trial() bool {
+	r := j.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	trial := r.quarantines.trial(now, j.digest, j.sharedParts, r.Settings.Instance, r.liveInstances(now))
+	if trial {
+		klog.InfoS("quarantined part tried", "request", j.ID, "route", j.route.Name, "parts", j.sharedPartNames())
+	}
+	return trial
+}
+
 // retryCrashes reports whether a retry after a possible crash would probably crash a
 // further upstream.
 func (j *job) retryCrashes() bool {
--- a/router/peers.go
+++ b/router/peers.go
@@ -75,7 +75,16 @@
 func (r *Router) listInstances(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.throttles.listInstances(now, r.membership.Live(now))
+	r.throttles.listInstances(now, r.liveInstances(now))
+}
+
+// liveInstances returns the names of the live instances. r.mu must be held.
+func (r *Router) liveInstances(now time.Time) []id.Instance {
+	var live []id.Instance
+	for _, record := range r.membership.Live(now) {
+		live = append(live, record.Instance)
+	}
+	return live
 }
 
 // exchangeState exchanges state with one instance, and fetches its copies of
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -1,11 +1,14 @@
 package router
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/quarantine"
+	"samphirehead/coordination/rendezvous"
 	"samphirehead/protocol/exchange"
 	"samphirehead/state/id"
 )
@@ -69,15 +72,28 @@
 // contains reports whether a request may not be sent to an upstream, because it, or
 // one of the shared parts of its prompt, has crashed too many.
 func (q *quarantines) contains(now time.Time, digest id.Fingerprint, parts []id.Fingerprint) bool {
-	if q.requests.Verdict(now, digest) == quarantine.Quarantined {
-		return true
-	}
+	return q.requests.Verdict(now, digest) == quarantine.Quarantined || q.firstQuarantined(now, parts) != 0
+}
+
+// firstQuarantined returns the first part that is quarantined, or 0 if none is.
+func (q *quarantines) firstQuarantined(now time.Time, parts []id.Fingerprint) id.Fingerprint {
 	for _, part := range parts {
 		if q.parts.Verdict(now, part) == quarantine.Quarantined {
-			return true
+			return part
 		}
 	}
-	return false
+	return 0
+}
+
+// trial reports whether a request with quarantined parts is sent all the same, to learn
+// which of them crash upstreams. A few of the live instances make the trials of a part.
+func (q *quarantines) trial(now time.Time, digest id.Fingerprint, parts []id.Fingerprint, self id.Instance, live []id.Instance) bool {
+	first := q.firstQuarantined(now, parts)
+	if first == 0 || q.requests.Verdict(now, digest) == quarantine.Quarantined {
+		return false
+	}
+	homes := rendezvous.Homes(strconv.FormatUint(uint64(first), 16), live, quarantine.TrialInstances)
+	return q.parts.Trial(now, parts, slices.Contains(homes, self))
 }
 
 // suspects reports whether one of the shared parts of a prompt has crashed upstreams
--- a/router/serve.go
+++ b/router/serve.go
@@ -172,7 +172,7 @@
 	r.mu.Lock()
 	r.retryBudgets.RecordRequest(j.arrived, j.service)
 	r.mu.Unlock()
-	if j.quarantined() {
+	if j.quarantined() && !j.trial() {
 		return j, quarantined
 	}
 	return j, ""
--- a/router/throttles.go
+++ b/router/throttles.go
@@ -7,7 +7,6 @@
 
 	"k8s.io/klog/v2"
 
-	"samphirehead/coordination/heartbeat"
 	"samphirehead/coordination/registry"
 	"samphirehead/coordination/throttle"
 	"samphirehead/protocol/exchange"
@@ -39,13 +38,9 @@
 }
 
 // listInstances passes on which instances are live.
-func (t throttles) listInstances(now time.Time, live []heartbeat.Record) {
-	listed := throttle.InstancesListed{}
-	for _, instance := range live {
-		listed.Instances = append(listed.Instances, instance.Instance)
-	}
+func (t throttles) listInstances(now time.Time, live []id.Instance) {
 	for _, one := range t {
-		one.Step(now, listed)
+		one.Step(now, throttle.InstancesListed{Instances: live})
 	}
 }
 
