resumption: forget streams with their callers

Noticed on reading: streams that were refused, or broke off, stayed published for 14 s, and the longer the row is, the less often it is written. A stream is forgotten a second after the end of its caller's budget now, and at once if the caller got none of it.

--- a/coordination/resumption/resumption.go
+++ b/coordination/resumption/resumption.go
@@ -46,9 +46,11 @@
 type StreamSent struct {
 	Request id.Request
 	Origin  Origin
+	// Wait is how long the caller may still take the stream up; 0 if that is not known.
+	Wait time.Duration
 }
 
-// StreamCompleted reports that the caller has the whole stream.
+// StreamCompleted reports that the caller was sent the whole stream, or none of it.
 type StreamCompleted struct{ Request id.Request }
 
 // PublicationRead reports what instances have published.
@@ -144,7 +146,7 @@
 	case VersionsListed:
 		t.list(now, ev)
 	case StreamSent:
-		t.streams[ev.Request] = stream{origin: ev.Origin, forgetAt: now.Add(t.wait)}
+		t.streams[ev.Request] = stream{origin: ev.Origin, forgetAt: now.Add(min(t.wait, cmp.Or(ev.Wait, t.wait)))}
 		t.unpublished = true
 	case StreamCompleted:
 		if s, ok := t.streams[ev.Request]; ok {
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -247,6 +247,26 @@
 	}
 }
 
+// Guards against streams that stay published when their callers have long given up.
+func TestStreamsAreForgottenWithTheirCallers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newStore()
+	tracker := s.start(now, "v1", "v2")
+	tracker.Step(now, resumption.StreamSent{Request: "a", Origin: at("v1"), Wait: 2 * time.Second})
+	tracker.Step(now, resumption.StreamSent{Request: "b", Origin: at("v1"), Wait: 2 * wait})
+	tracker.Step(now, resumption.StreamSent{Request: "c", Origin: at("v1")})
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 3}, {3 * time.Second, 2}, {wait + time.Second, 0}} {
+		later := now.Add(c.after)
+		tracker.Step(later, resumption.PublishFailed{})
+		if got := len(tracker.Next(later).Streams); got != c.want {
+			t.Errorf("%d streams after %v, want %d", got, c.after, c.want)
+		}
+	}
+}
+
 // Guards against a published version or stream that is never removed, after which streams
 // would be refused, and against losing them with the writes of a restored store.
 func TestPublicationEndsAndIsRepeated(t *testing.T) {
--- a/router/origins.go
+++ b/router/origins.go
@@ -33,6 +33,9 @@
 	// originsWriteTime times the number of instances is the shortest pause between two
 	// publications: together, they write half as often as the store allows.
 	originsWriteTime = time.Second / 150
+	// takeUpDelay is how long after the end of its caller's budget a request with a stream
+	// may still arrive here.
+	takeUpDelay = time.Second
 )
 
 // origins tracks where streams began that callers may take up again. tracker is guarded by
@@ -206,15 +209,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.origins.tracker.Step(now, resumption.StreamSent{
+	sent := resumption.StreamSent{
 		Request: j.streamID(), Origin: resumption.Origin{Service: j.service, Software: chosen.Software},
-	})
+	}
+	if j.Budget > 0 {
+		sent.Wait = j.arrived.Add(j.Budget + takeUpDelay).Sub(now)
+	}
+	r.origins.tracker.Step(now, sent)
 	if r.origins.tracker.Mixed(now, j.service) {
 		r.origins.notify()
 	}
 }
 
-// streamCompleted records that the caller was sent the whole stream.
+// streamCompleted records that the caller was sent the whole stream, or none of it.
 func (j *job) streamCompleted() {
 	if !j.route.Resumable {
 		return
--- a/router/serve.go
+++ b/router/serve.go
@@ -82,8 +82,8 @@
 	sharedParts []id.Fingerprint
 	// tried holds the upstreams that the request was sent to, in order.
 	tried []id.Upstream
-	// software is the version of the upstream that began the stream; nil until an event
-	// was delivered.
+	// software is the version of the upstream that began the stream, here or at another
+	// instance; nil until the caller has an event.
 	software *id.SoftwareVersion
 	// responses holds the answers that are to be released at the end.
 	responses []*forward.Response
