--- /dev/null
+++ b/coordination/resumption/events.go
@@ -0,0 +1,53 @@
+package resumption
+
+import (
+	"time"
+
+	"samphirehead/state/id"
+)
+
+// Event is an input of a Tracker.
+type Event interface{ event() }
+
+// VersionsListed reports the versions that the listed upstreams of services with
+// resumable streams have. It replaces the previous list.
+type VersionsListed struct {
+	Origins []Origin
+	// Routes holds the services that the streams of each route go to.
+	Routes [][]id.Service
+	// Wait is the longest time from the start of a stream until its caller no longer
+	// takes it up.
+	Wait time.Duration
+}
+
+// StreamSent reports that a stream was sent to an upstream, where its first event is
+// expected to come from. Request is the caller's first attempt at the stream.
+type StreamSent struct {
+	Request id.Request
+	Origin  Origin
+	// Wait is how long the caller may still take the stream up; 0 if that is not known.
+	Wait time.Duration
+}
+
+// StreamCompleted reports that the caller was sent the whole stream, or none of it.
+type StreamCompleted struct{ Request id.Request }
+
+// PublicationRead reports what instances have published.
+type PublicationRead struct{ Publication }
+
+// Published reports that a change was published.
+type Published struct{ Change }
+
+// PublishFailed reports that a change may not be published.
+type PublishFailed struct{}
+
+// PublicationLost reports that what was published may be lost.
+type PublicationLost struct{}
+
+func (VersionsListed) event()  {}
+func (StreamSent) event()      {}
+func (StreamCompleted) event() {}
+func (PublicationRead) event() {}
+func (Published) event()       {}
+func (PublishFailed) event()   {}
+func (PublicationLost) event() {}
