--- a/router/origins.go
+++ b/router/origins.go
@@ -31,8 +31,8 @@
 	publishedStreamBytes = 26
 	maxOriginsRate       = 4 << 10
 	// originsWriteTime times the number of instances is the shortest pause between two
-	// publications: together, they write half as often as the store allows.
-	originsWriteTime = time.Second / 150
+	// publications: together, they write less often than the store allows in one part.
+	originsWriteTime = time.Second / 250
 	// takeUpDelay is how long after the end of its caller's budget a request with a stream
 	// may still arrive here.
 	takeUpDelay = time.Second
