--- a/coordination/resumption/events.go
+++ b/coordination/resumption/events.go
@@ -16,7 +16,7 @@
 	// Routes holds the services that the streams of each route go to.
 	Routes [][]id.Service
 	// Wait is the longest time from the start of a stream until its caller no longer
-	// takes it up.
+	// resumes it.
 	Wait time.Duration
 }
 
@@ -25,7 +25,7 @@
 type StreamSent struct {
 	Request id.Request
 	Origin  Origin
-	// Wait is how long the caller may still take the stream up; 0 if that is not known.
+	// Wait is how long the caller may still resume the stream; 0 if that is not known.
 	Wait time.Duration
 }
 
--- a/coordination/resumption/resumption.go
+++ b/coordination/resumption/resumption.go
@@ -3,7 +3,7 @@
 // together. A Tracker is a deterministic state machine: time is passed in with each call.
 //
 // Each instance knows where its own streams began. While those of a route may have begun
-// at several versions or services, it also publishes that: a caller may take a stream up at
+// at several versions or services, it also publishes that: a caller may resume a stream at
 // another instance after this one has ended. While there is only one, nothing needs to be
 // published but its name.
 package resumption
@@ -83,7 +83,7 @@
 
 type stream struct {
 	origin Origin
-	// forgetAt is when the caller no longer takes the stream up.
+	// forgetAt is when the caller no longer resumes the stream.
 	forgetAt time.Time
 	// completed is set once this instance has written the last event.
 	completed bool
@@ -202,8 +202,7 @@
 }
 
 // nextStreams returns the streams to publish: those of mixed services that are not
-// completed. It returns nil if
-// they are published, and no streams if none need to be.
+// completed. It returns nil if they are published, and no streams if none need to be.
 func (t *Tracker) nextStreams(now time.Time) map[id.Request]Origin {
 	maps.DeleteFunc(t.streams, func(_ id.Request, s stream) bool { return now.After(s.forgetAt) })
 	mixed := t.allMixed(now)
@@ -243,7 +242,7 @@
 // Mixed reports whether the streams of a service are to be published.
 func (t *Tracker) Mixed(now time.Time, service id.Service) bool { return t.allMixed(now)[service] }
 
-// possible reports whether streams that callers may still take up may have begun at a
+// possible reports whether streams that callers may still resume may have begun at a
 // version.
 func (t *Tracker) possible(now time.Time, v *version) bool {
 	return v.listed || t.listedSince.IsZero() || now.Sub(v.seenAt) <= t.wait
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -117,7 +117,7 @@
 // fail ends a request for which there is no answer of an upstream. It answers
 // with 503 only if the request was certainly not run.
 func (j *job) fail(ctx context.Context, why reason) {
-	if !j.takesUp() {
+	if !j.isResumption() {
 		j.streamCompleted()
 	}
 	switch {
--- a/router/origins.go
+++ b/router/origins.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// takeUpMargin is how much longer than the timeout of its route a caller is expected
+	// resumeMargin is how much longer than the timeout of its route a caller is expected
 	// to wait for a stream.
-	takeUpMargin = 10 * time.Second
+	resumeMargin = 10 * time.Second
 	// originsInterval is the interval at which is checked what to publish, and
 	// originsPause the shortest pause between two publications.
 	originsInterval = time.Second
@@ -33,12 +33,12 @@
 	// originsWriteTime times the number of instances is the shortest pause between two
 	// publications: together, they write less often than the store allows in one part.
 	originsWriteTime = time.Second / 250
-	// takeUpDelay is how long after the end of its caller's budget a request with a stream
+	// resumeDelay is how long after the end of its caller's budget a request with a stream
 	// may still arrive here.
-	takeUpDelay = time.Second
+	resumeDelay = time.Second
 )
 
-// origins tracks where streams began that callers may take up again. tracker is guarded by
+// origins tracks where streams began that callers may resume. tracker is guarded by
 // Router.mu.
 type origins struct {
 	tracker resumption.Tracker
@@ -66,7 +66,7 @@
 		if !route.Resumable {
 			continue
 		}
-		listed.Wait = max(listed.Wait, cmp.Or(route.Timeout, defaultTimeout)+takeUpMargin)
+		listed.Wait = max(listed.Wait, cmp.Or(route.Timeout, defaultTimeout)+resumeMargin)
 		targets := route.Services()
 		if name := fmt.Sprint(targets); !known[name] {
 			known[name] = true
@@ -171,12 +171,12 @@
 	return j.ID
 }
 
-// takesUp reports whether the caller goes on with a stream that it has events of.
-func (j *job) takesUp() bool {
+// isResumption reports whether the caller resumes a stream that it has events of.
+func (j *job) isResumption() bool {
 	return j.route.Resumable && (j.Resumes != "" || j.LastEventID != "")
 }
 
-// findOrigin binds a request that takes a stream up to the service and the software version
+// findOrigin binds a request that resumes a stream to the service and the software version
 // that began it. It returns false if these are not known, or the route no longer leads
 // there.
 func (j *job) findOrigin(ctx context.Context) bool {
@@ -213,7 +213,7 @@
 		Request: j.streamID(), Origin: resumption.Origin{Service: j.service, Software: chosen.Software},
 	}
 	if j.Budget > 0 {
-		sent.Wait = j.arrived.Add(j.Budget + takeUpDelay).Sub(now)
+		sent.Wait = j.arrived.Add(j.Budget + resumeDelay).Sub(now)
 	}
 	r.origins.tracker.Step(now, sent)
 	if r.origins.tracker.Mixed(now, j.service) {
--- a/router/serve.go
+++ b/router/serve.go
@@ -162,7 +162,7 @@
 	if why := j.readBody(request, table.Limits); why != "" {
 		return j, why
 	}
-	if j.takesUp() && !j.findOrigin(request.Context()) {
+	if j.isResumption() && !j.findOrigin(request.Context()) {
 		return j, originUnknown
 	}
 	j.digest = r.Dialect.Digest(parsed)
