review: show streams joined when workers start again under their ids

Beyond the five cases: while the store is away, the list does not say that a worker has another version since it started again.

--- /dev/null
+++ b/review/samename.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# ORDER, not one of the five cases: workers that start again under their ids with a newer
+# version while the store is away. It writes its record to the folder of the stand-in.
+. "$(dirname "$0")/run-case.sh"
+run_case "$(cd "$(dirname "$0")" && pwd)/samename" samename
