--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,6 +31,9 @@
 	Secret = "replace-me-for-each-installation"
 
 	readyTimeout = 30 * time.Second
+	// An instance has addressesPerInstance, from portsPerInstance ports.
+	addressesPerInstance = 5
+	portsPerInstance     = 20
 )
 
 // Instance is one router process and its addresses.
@@ -57,7 +59,7 @@
 	}
 	b := &Bed{Dir: dir, Record: r, Store: platformtest.NewStore()}
 	for i, zone := range zones {
-		addresses, err := freeAddresses(5)
+		addresses, err := freeAddresses(i*portsPerInstance, addressesPerInstance)
 		if err != nil {
 			return nil, err
 		}
@@ -69,21 +71,21 @@
 	return b, nil
 }
 
-// Ports are chosen below those that the kernel gives to outgoing connections.
+// Ports are chosen below those that the kernel gives to outgoing connections. Each case
+// that runs has a range of its own, by its process id.
 const (
-	firstPort = 12000
-	ports     = 20000
-	maxTries  = 1000
+	firstPort     = 12000
+	portsPerCase  = 100
+	rangesOfPorts = 200
 )
 
-// freeAddresses returns loopback addresses with ports that are free now.
-func freeAddresses(n int) ([]string, error) {
+// freeAddresses returns loopback addresses with ports that are free now, beginning with
+// the port at an offset in the range of this process.
+func freeAddresses(offset, n int) ([]string, error) {
+	first := firstPort + os.Getpid()%rangesOfPorts*portsPerCase
 	var addresses []string
-	for range maxTries {
-		if len(addresses) == n {
-			return addresses, nil
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(ports))
+	for port := first + offset; port < first+portsPerCase && len(addresses) < n; port++ {
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		config := net.ListenConfig{}
 		l, err := config.Listen(context.Background(), "tcp", address)
 		if err != nil {
@@ -92,7 +94,10 @@
 		defer func() { _ = l.Close() }()
 		addresses = append(addresses, address)
 	}
-	return nil, errors.New("no free ports")
+	if len(addresses) < n {
+		return nil, errors.New("no free ports")
+	}
+	return addresses, nil
 }
 
 // Route is the operator's route.
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,6 @@
-# Runs one case; sourced by the run.sh of each. Usage: run_case FOLDER STANDIN. The
-# stand-in writes the settings of the instances and the list of their names, and then
-# waits until they are ready; its exit status is that of the case.
+# Runs one case; sourced by the run.sh of each. Usage: run_case FOLDER STANDIN TROUBLE, where
+# TROUBLE is true or false. The stand-in writes the settings of the instances and the list of
+# their names, and then waits until they are ready; its exit status is that of the case.
 
 # keep_running starts an instance again each time that it ends.
 keep_running() {
@@ -18,12 +18,10 @@
 }
 
 run_case() {
-	local folder=$1 standin=$2 keepers=() list name status driver
+	local folder=$1 standin=$2 trouble=$3 keepers=() list name status driver
 	root=$(cd "$folder/../.." && pwd)
 	cd "$root" || exit 2
 	scratch=$(mktemp -d) || exit 2
-	trouble=true
-	[ "${TROUBLE:-1}" = 0 ] && trouble=false
 	if [ ! -x target/samphirehead ] || [ ! -x "target/review/$standin" ]; then
 		echo "not built: run the build line of deploy/system.toml and review/build.sh"
 		exit 2
