review: add case 10, very many parts of a prompt hang the instances

For each request, each part of its prompt is looked up in the cache of each engine, with the lock held that all requests need.

Added the script and its claim.

--- a/review/second/bed.go
+++ b/review/second/bed.go
@@ -83,11 +83,13 @@
 	workers   []*worker
 	started   time.Time
 
-	stop   context.CancelFunc
-	beats  sync.WaitGroup
-	mu     sync.Mutex
-	record *bufio.Writer
-	file   *os.File
+	stop  context.CancelFunc
+	beats sync.WaitGroup
+	mu    sync.Mutex
+	// passedOn holds the ids of the requests that workers got.
+	passedOn map[string]bool
+	record   *bufio.Writer
+	file     *os.File
 }
 
 func newBed(dir string, trouble bool) (*bed, error) {
@@ -97,7 +99,7 @@
 	}
 	b := &bed{
 		dir: dir, trouble: trouble, store: platformtest.NewStore(), started: time.Now(),
-		record: bufio.NewWriter(file), file: file, machine: bkkSamphire, stop: func() {},
+		record: bufio.NewWriter(file), file: file, passedOn: make(map[string]bool), machine: bkkSamphire, stop: func() {},
 	}
 	b.front, err = newStoreFront(b)
 	return b, err
@@ -124,6 +126,20 @@
 	_, _ = fmt.Fprintf(b.record, "%8.3f "+format+"\n", append([]any{time.Since(b.started).Seconds()}, values...)...)
 }
 
+// passOn records that a worker got a request.
+func (b *bed) passOn(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.passedOn[id] = true
+}
+
+// wasPassedOn reports whether a worker got a request.
+func (b *bed) wasPassedOn(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.passedOn[id]
+}
+
 // addWorkers starts workers of a service.
 func (b *bed) addWorkers(ctx context.Context, service string, count, slots int, serve func(*worker, http.ResponseWriter, *http.Request)) error {
 	for n := range count {
@@ -139,15 +155,15 @@
 // zone is where machine or worker number n stands.
 func zone(n int) string { return "zone-" + string(rune('a'+n%3)) }
 
-// startInstances writes the settings of some instances, and waits until the script has started
+// startInstances writes the settings of the instances, and waits until the script has started
 // them and they are ready.
-func (b *bed) startInstances(ctx context.Context, count int) error {
+func (b *bed) startInstances(ctx context.Context) error {
 	ctxBeats, stop := context.WithCancel(ctx)
 	b.stop = stop
 	for _, w := range b.workers {
 		b.beats.Go(func() { w.beat(ctxBeats) })
 	}
-	for n := range count {
+	for n := range instances {
 		i, err := newInstance(ctx, fmt.Sprintf("front-%s-%d", zone(n), n))
 		if err != nil {
 			return err
@@ -292,6 +308,7 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.bed.passOn(id)
 	w.serve(w, rw, r)
 }
 
--- a/review/second/caller.go
+++ b/review/second/caller.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +48,8 @@
 	status int
 	body   []byte
 	err    error
+	// kept is set if the request was sent on a channel that had been used before.
+	kept bool
 }
 
 // patience is how much longer than its budget a caller here waits, to see when an answer comes.
@@ -56,11 +60,15 @@
 	ctx, cancel := context.WithTimeout(ctx, q.budget+patience)
 	defer cancel()
 	out := result{request: q, sent: time.Now()}
+	var kept atomic.Bool
 	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+q.at.callers+q.path, q.body)
 	if err != nil {
 		out.err = err
 		return out
 	}
+	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { kept.Store(info.Reused) },
+	}))
 	r.Host = host
 	r.Header.Set("X-Samphirehead-Attempt-Id", q.id)
 	r.Header.Set("X-Samphirehead-Time-Budget-Ms", fmt.Sprint(q.budget.Milliseconds()))
@@ -74,7 +82,7 @@
 		out.body, err = io.ReadAll(answer.Body)
 		_ = answer.Body.Close()
 	}
-	out.took, out.err = time.Since(out.sent), err
+	out.took, out.err, out.kept = time.Since(out.sent), err, kept.Load()
 	b.notef("%s %s sent to %s at %.3f: status %d after %.3f s, %d bytes, %v", q.kind, q.id, q.at.name,
 		out.sent.Sub(b.started).Seconds(), out.status, out.took.Seconds(), len(out.body), err)
 	return out
--- a/review/second/longids.go
+++ b/review/second/longids.go
@@ -40,7 +40,7 @@
 		w.version = "v" + strconv.Itoa(1+n%2)
 		w.register(1)
 	}
-	if err := b.startInstances(ctx, instances); err != nil {
+	if err := b.startInstances(ctx); err != nil {
 		return err
 	}
 	sending, stop := context.WithCancel(ctx)
--- a/review/second/longprompts.go
+++ b/review/second/longprompts.go
@@ -83,7 +83,7 @@
 	if err := b.addWorkers(ctx, "desk", deskWorkers, deskSlots, serveLookup); err != nil {
 		return err
 	}
-	if err := b.startInstances(ctx, instances); err != nil {
+	if err := b.startInstances(ctx); err != nil {
 		return err
 	}
 	traffic := newTraffic(b)
@@ -203,15 +203,16 @@
 		}
 		q := next(number)
 		q.at = t.bed.instances[rand.IntN(len(t.bed.instances))]
-		t.sending.Go(func() {
-			r := t.bed.send(ctx, q)
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			t.results = append(t.results, r)
-		})
+		t.sending.Go(func() { t.add(t.bed.send(ctx, q)) })
 	}
 }
 
+func (t *traffic) add(r result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.results = append(t.results, r)
+}
+
 // conversation is the next request of a long conversation: its prompt lists the instructions that
 // all share, and the turns so far.
 func conversation(number int) request {
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -24,6 +24,7 @@
 	"long-prompts": playLongPrompts,
 	"long-ids":     playLongIDs,
 	"long-parts":   playLongParts,
+	"many-parts":   playManyParts,
 }
 
 func main() {
