usage: ask who reported before, after the platform was restored

Cause: a row alone told what was reported. No row was taken for no report unless the process itself had seen the restoration, which one that starts later has not; a holder with a report that waits for its answer trusted older rows; and doubt ended with all windows left out, also at the process that knew. The flag `restored` was set by rows of upstreams and read beside those of usage.

Change: a new holder that finds no row of this era asks the live instances (Usage.Recall). The one that reported last knows what is settled and which report has no answer; others know which fencing numbers there were. Where that doesn't settle it, a window is left out 0.8 of the lateness after its end. Each new holder asks once, so that all hear of its number before it reports. An instance of an older build doesn't answer: beside one, doubtful windows are left out.

TestWindowIsNotReportedAnewAfterItsRowWasLost: the new holder hears of the number of the one before in place of being told that there was a restoration, and the window after the doubt is looked for 4 s after its end, not 2, as it waits for the doubtful one; the lateness is 10 s.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -40,10 +40,6 @@
 	// clocks that run at different rates: the holder's lease expires earlier
 	// by the margin, and a candidate waits longer by it.
 	marginDivisor = 8
-
-	// eraShift is the bit of a fencing number above which it holds the era of the table, so
-	// that a number that was lost with a restoration is never given out again.
-	eraShift = 32
 )
 
 // Row is the value of a lease in the table.
@@ -285,7 +281,7 @@
 // nextNumber returns a number that is higher than that of the row and than all of earlier
 // eras.
 func (l *Lease) nextNumber(inRow id.FencingNumber) id.FencingNumber {
-	return max(inRow, id.FencingNumber(l.era)<<eraShift) + 1
+	return max(inRow, id.FirstFencingNumber(l.era)) + 1
 }
 
 // rowWritten handles the result of the pending write. A write whose result is
--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -20,13 +20,18 @@
 	// instances that have not told their counts.
 	minSettle   = time.Second
 	settleShare = 0.4
+	// doubtShare is the part of the lateness after which a window is left out of which no
+	// instance that answers knows whether it was reported.
+	doubtShare = 0.8
+	// recallTime is how long a holder that is not in doubt asks in vain until it reports.
+	recallTime = time.Second
 )
 
 // Event is an input of a Reporter.
 type Event interface{ event() }
 
-// Acquired reports that this instance holds the duty from now on.
-type Acquired struct{}
+// Acquired reports that this instance holds the duty from now on, under a fencing number.
+type Acquired struct{ FencingNumber id.FencingNumber }
 
 // Lost reports that this instance no longer holds the duty.
 type Lost struct{}
@@ -34,11 +39,16 @@
 // RowsRead reports the result of ReadRows.
 type RowsRead struct {
 	Rows []record.Row
-	// Era is that of the platform. Restored is set if it was restored from a copy while this
-	// process ran.
-	Era      uint64
-	Restored bool
-	Err      error
+	// Era is that of the platform.
+	Era uint64
+	Err error
+}
+
+// Recalled reports the result of Recall.
+type Recalled struct {
+	Accounts []Account
+	// All is set if all instances have answered that were asked.
+	All bool
 }
 
 // RowWritten reports the result of WriteRow.
@@ -57,6 +67,7 @@
 func (Acquired) event()   {}
 func (Lost) event()       {}
 func (RowsRead) event()   {}
+func (Recalled) event()   {}
 func (RowWritten) event() {}
 func (Sent) event()       {}
 func (Ticked) event()     {}
@@ -67,6 +78,10 @@
 // ReadRows requests a read of all rows of reports, to be answered by RowsRead.
 type ReadRows struct{}
 
+// Recall asks the live instances for their accounts, to be answered by Recalled. By the question
+// they hear of the fencing number.
+type Recall struct{ FencingNumber id.FencingNumber }
+
 // WriteRow requests a write, to be answered by RowWritten.
 type WriteRow struct{ Write record.Write }
 
@@ -74,30 +89,55 @@
 type Send struct{ Report Report }
 
 func (ReadRows) effect() {}
+func (Recall) effect()   {}
 func (WriteRow) effect() {}
 func (Send) effect()     {}
 
 // Reporter decides what the holder of the duty reports, one window after the other. The
 // report of a window is what the first write of its row says, which goes before it is sent:
 // whoever sends it again sends the same. A window's row replaces that of MaxWindows before.
+//
+// A platform that was restored from a copy may have lost the rows of reports that were sent. A new
+// holder that finds no row of this era doubts, therefore, whether the windows that had ended
+// before were reported. It asks the live instances: the holder before knows, if its process
+// still runs.
 // Set the exported fields before the first Step. It is not safe for concurrent use.
 type Reporter struct {
 	Ledger   *Ledger
 	Windows  *Windows
 	Lateness time.Duration
+	// Lease is the duration of the lease of the duty.
+	Lease time.Duration
 
 	held      bool
 	heldSince time.Time
-	// loaded is set once the rows were read under this holding.
-	loaded   bool
-	inFlight bool
+	// number is the fencing number under which the duty is held, or was held last.
+	number id.FencingNumber
+	// loaded is set once the rows were read under number, and certain once it is known which
+	// windows were reported before.
+	loaded, certain bool
+	inFlight        bool
 	// versions holds the versions of the rows by their key.
 	versions map[record.Key]record.Version
 	pending  *decision
-	// era is the last one that the platform has stated.
-	era uint64
-	// doubtful is the last window that may have been reported though no row says so.
+	// era is the last one that the platform has stated, and since the first one.
+	era, since uint64
+	// noRows is set if there were no rows, and doubtful is the last window that may have been
+	// reported though no row says so; 0 if the rows are of this era.
+	noRows   bool
 	doubtful Window
+	// leftOut counts the windows with requests that are not reported because of doubt.
+	leftOut uint64
+
+	// reported is the number under which reports were decided here last, and carried the
+	// report that it left unsettled. Under the unused ones, none was decided.
+	reported id.FencingNumber
+	carried  *Report
+	unused   []id.FencingNumber
+	heard    confirmations
+	// This process has been in touch with others since inTouchSince, and was not paused.
+	inTouchSince, lastTick time.Time
+	sawOthers              bool
 }
 
 // decision is the report of the oldest window that is not settled.
@@ -123,12 +163,15 @@
 func (r *Reporter) Step(now time.Time, ev Event) Effect {
 	switch ev := ev.(type) {
 	case Acquired:
-		r.held, r.heldSince, r.loaded = true, now, false
+		r.acquired(now, ev.FencingNumber)
 	case Lost:
 		r.held = false
 		if r.pending != nil && !r.pending.written {
 			r.pending = nil
 		}
+	case Recalled:
+		r.inFlight = false
+		r.recalled(now, ev)
 	case RowsRead:
 		r.inFlight = false
 		r.rowsRead(ev)
@@ -140,6 +183,7 @@
 		r.inFlight = false
 		r.sent(now, ev.Err)
 	case Ticked:
+		r.stayInTouch(now, ev.Live)
 		return r.next(now, ev.Live)
 	}
 	return nil
@@ -155,6 +199,10 @@
 		return ReadRows{}
 	}
 	if r.pending == nil {
+		if !r.certain {
+			r.inFlight = true
+			return Recall{r.number}
+		}
 		r.decide(now, live)
 	}
 	if r.pending == nil {
@@ -205,37 +253,31 @@
 }
 
 // rowsRead continues where the holder before has stopped: it had sent the reports before the
-// last one that it wrote. If the platform was restored from a copy since that was written, later
-// rows may be gone whose reports were sent: windows that had ended then are not reported.
+// last one that it wrote, whose row is sent again. If the platform was restored from a copy since
+// then, later rows may be gone whose reports were sent.
 func (r *Reporter) rowsRead(ev RowsRead) {
 	if ev.Err != nil {
 		return
 	}
 	r.loaded, r.era = true, ev.Era
-	lastEra := ev.Era
-	if len(ev.Rows) == 0 && ev.Restored {
-		lastEra = 0
-	}
+	r.SeeEra(ev.Era)
 	r.versions = make(map[record.Key]record.Version)
+	var last *row
 	for _, read := range ev.Rows {
 		r.versions[read.Key] = read.Version
 		stored, err := decode(read)
-		if err != nil {
-			continue
-		}
-		if r.pending == nil || stored.Window >= r.pending.Window {
-			r.pending, lastEra = &decision{Report: stored.report(), written: true}, stored.Era
+		if err == nil && (last == nil || stored.Window > last.Window) {
+			last = &stored
 		}
 	}
-	if lastEra != ev.Era {
+	r.noRows, r.doubtful, r.pending = last == nil, 0, nil
+	if last == nil || last.Era != ev.Era {
 		r.doubtful = r.Windows.At(r.heldSince) - 1
 	}
-	if r.pending == nil || r.pending.Window <= r.Ledger.Settled() {
-		r.pending = nil
-		r.Ledger.Settle(r.doubtful)
-		return
+	if last != nil && last.Window > r.Ledger.Settled() {
+		r.pending = &decision{Report: last.report(), written: true}
+		r.Ledger.Settle(last.Window - 1)
 	}
-	r.Ledger.Settle(r.pending.Window - 1)
 }
 
 func decode(read record.Row) (stored row, err error) {
@@ -282,6 +324,6 @@
 	if err != nil && !tooOld {
 		return
 	}
-	r.Ledger.Settle(max(r.pending.Window, r.doubtful))
+	r.Ledger.Settle(r.pending.Window)
 	r.pending = nil
 }
--- a/coordination/usage/reporter_test.go
+++ b/coordination/usage/reporter_test.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"samphirehead/coordination/usage"
 	"samphirehead/state/id"
 	"samphirehead/state/record"
@@ -23,17 +26,19 @@
 // platform holds the rows of reports and takes reports. It fails the test if it gets two
 // different ones for a window.
 type platform struct {
-	t       *testing.T
+	t       rapid.TB
 	rows    map[record.Key]record.Row
 	version record.Version
 	taken   map[usage.Window]usage.Counts
+	// number is the last fencing number that was given out.
+	number id.FencingNumber
 	// era counts how often the rows were restored, from 1.
 	era uint64
 	// away, lostWrites and lostReports fail calls; the lost ones take effect.
 	away, lostWrites, lostReports bool
 }
 
-func newPlatform(t *testing.T) *platform {
+func newPlatform(t rapid.TB) *platform {
 	return &platform{t: t, era: 1, rows: make(map[record.Key]record.Row), taken: make(map[usage.Window]usage.Counts)}
 }
 
@@ -72,42 +77,63 @@
 	*platform
 	usage.Ledger
 	usage.Reporter
-	// restored is set if the instance has seen that the platform was restored.
-	restored bool
+	// peers are the others that it asks, and silent is set if one more doesn't answer.
+	peers  []*holder
+	silent bool
 }
 
 func newHolder(p *platform, name id.Instance) *holder {
 	h := &holder{platform: p}
 	h.Self = usage.Process{Instance: name, Incarnation: 1}
-	h.Reporter = usage.Reporter{Ledger: &h.Ledger, Windows: &usage.Windows{Length: length}, Lateness: lateness}
+	h.Reporter = usage.Reporter{Ledger: &h.Ledger, Windows: &usage.Windows{Length: length}, Lateness: lateness, Lease: leaseTime}
 	return h
 }
 
+// acquire lets the holder acquire the duty.
+func (h *holder) acquire(now time.Time) {
+	h.number = max(h.number, id.FirstFencingNumber(h.era)) + 1
+	h.Step(now, usage.Acquired{FencingNumber: h.number})
+}
+
+func (h *holder) recall(number id.FencingNumber) usage.Recalled {
+	result := usage.Recalled{All: !h.silent}
+	for _, p := range h.peers {
+		p.Hear(number, time.Time{})
+		result.Accounts = append(result.Accounts, p.Account())
+	}
+	return result
+}
+
 // run ticks once and carries out what follows, until there is nothing more or it fails. stop
 // ends it before an effect of the same type as stop.
 func (h *holder) run(now time.Time, stop usage.Effect, live ...id.Instance) {
 	for range 20 {
 		effect := h.Step(now, usage.Ticked{Live: live})
-		switch effect := effect.(type) {
-		case nil:
+		if _, sends := effect.(usage.Send); effect == nil || sends && stop != nil {
+			return
+		}
+		h.Step(now, h.do(effect))
+		if _, asked := effect.(usage.Recall); asked && !h.Certain() {
 			return
-		case usage.ReadRows:
-			var rows []record.Row
-			for _, r := range h.rows {
-				rows = append(rows, r)
-			}
-			h.Step(now, usage.RowsRead{Rows: rows, Era: h.era, Restored: h.restored})
-		case usage.WriteRow:
-			h.Step(now, usage.RowWritten{Result: h.write(effect.Write), Era: h.era})
-		case usage.Send:
-			if _, stops := stop.(usage.Send); stops {
-				return
-			}
-			h.Step(now, usage.Sent{Err: h.take(effect.Report)})
 		}
 	}
 }
 
+// do carries out an effect and returns its result.
+func (h *holder) do(effect usage.Effect) usage.Event {
+	switch effect := effect.(type) {
+	case usage.ReadRows:
+		return usage.RowsRead{Rows: slices.Collect(maps.Values(h.rows)), Era: h.era}
+	case usage.Recall:
+		return h.recall(effect.FencingNumber)
+	case usage.WriteRow:
+		return usage.RowWritten{Result: h.write(effect.Write), Era: h.era}
+	case usage.Send:
+		return usage.Sent{Err: h.take(effect.Report)}
+	}
+	panic("unknown effect")
+}
+
 // end returns a time after the end of a window.
 func end(w usage.Window, after time.Duration) time.Time {
 	return time.Unix(0, int64(w+1)*int64(length)).Add(after)
@@ -128,7 +154,7 @@
 func TestReportWaitsForInstancesThatHaveNotToldTheirCounts(t *testing.T) {
 	p := newPlatform(t)
 	h := newHolder(p, "a")
-	h.Step(end(first-1, 0), usage.Acquired{})
+	h.acquire(end(first-1, 0))
 	h.Count(first, "w1")
 	h.Enter(first + 1)
 	h.run(end(first, 2*time.Second), nil, "a", "b")
@@ -142,7 +168,7 @@
 func TestReportOfAnInstanceThatFallsSilentIsSentInTime(t *testing.T) {
 	p := newPlatform(t)
 	h := newHolder(p, "a")
-	h.Step(end(first-1, 0), usage.Acquired{})
+	h.acquire(end(first-1, 0))
 	h.Merge(countsOfB(map[usage.Window]usage.Counts{first: {"w1": 2}}), first)
 	h.run(end(first, lateness/2), nil, "a", "b")
 	p.wantTaken(first, usage.Counts{"w1": 2})
@@ -152,7 +178,7 @@
 func TestCountsOfARestartedInstanceAdd(t *testing.T) {
 	p := newPlatform(t)
 	h := newHolder(p, "a")
-	h.Step(end(first-1, 0), usage.Acquired{})
+	h.acquire(end(first-1, 0))
 	h.Merge(countsOfB(map[usage.Window]usage.Counts{first: {"w1": 2}}), first)
 	again := countsOfB(map[usage.Window]usage.Counts{first: {"w1": 1}, first + 1: {}})
 	again.Incarnation = 2
@@ -174,7 +200,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := newPlatform(t)
 			before, after := newHolder(p, "a"), newHolder(p, "b")
-			before.Step(end(first-1, 0), usage.Acquired{})
+			before.acquire(end(first-1, 0))
 			before.Count(first, "w1")
 			after.Count(first, "w1")
 			after.Count(first, "w1")
@@ -183,9 +209,9 @@
 			p.lostReports, p.lostWrites = false, false
 			now := end(first, 6*time.Second)
 			before.Step(now, usage.Lost{})
-			after.Step(now, usage.Acquired{})
+			after.acquire(now)
 			after.run(now, nil)
-			before.Step(now, usage.Acquired{})
+			before.acquire(now)
 			before.run(now.Add(time.Second), nil)
 			p.wantTaken(first, usage.Counts{"w1": 1})
 			if after.Settled() != first {
@@ -200,7 +226,7 @@
 func TestReportsFollowOnceThePlatformIsBack(t *testing.T) {
 	p := newPlatform(t)
 	h := newHolder(p, "a")
-	h.Step(end(first-1, 0), usage.Acquired{})
+	h.acquire(end(first-1, 0))
 	for w := first; w < first+5; w++ {
 		h.Count(w, "w1")
 	}
@@ -220,7 +246,7 @@
 func TestRowsOfOldReportsAreReplaced(t *testing.T) {
 	p := newPlatform(t)
 	h := newHolder(p, "a")
-	h.Step(end(first-1, 0), usage.Acquired{})
+	h.acquire(end(first-1, 0))
 	for w := first; w < first+40; w++ {
 		h.Count(w, "w1")
 		h.run(end(w, 5*time.Second), nil)
@@ -264,7 +290,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := newPlatform(t)
 			a, b := newHolder(p, "a"), newHolder(p, "b")
-			a.Step(end(first-2, 0), usage.Acquired{})
+			a.acquire(end(first-2, 0))
 			if earlier {
 				a.Count(first-1, "w1")
 				a.Enter(first)
@@ -276,13 +302,14 @@
 			a.Enter(first + 1)
 			a.run(end(first, 2*time.Second), nil, "a")
 			p.wantTaken(first, usage.Counts{"w1": 2})
-			p.rows, p.era, b.restored = kept, p.era+1, true
+			p.rows, p.era = kept, p.era+1
+			b.Hear(p.number, time.Time{})
 			b.Count(first, "w2")
 			b.Count(first+1, "w2")
 			b.Enter(first + 2)
-			b.Step(end(first, 3*time.Second), usage.Acquired{})
+			b.acquire(end(first, 3*time.Second))
 			b.run(end(first, 4*time.Second), nil, "b")
-			b.run(end(first+1, 2*time.Second), nil, "b")
+			b.run(end(first+1, 4*time.Second), nil, "b")
 			p.wantTaken(first, usage.Counts{"w1": 2})
 			p.wantTaken(first+1, usage.Counts{"w2": 1})
 		})
@@ -295,7 +322,7 @@
 	b := newHolder(p, "b")
 	b.Count(first, "w1")
 	b.Enter(first + 1)
-	b.Step(end(first, 3*time.Second), usage.Acquired{})
+	b.acquire(end(first, 3*time.Second))
 	b.run(end(first, 4*time.Second), nil, "b")
 	p.wantTaken(first, usage.Counts{"w1": 1})
 }
--- a/protocol/exchange/usage.go
+++ b/protocol/exchange/usage.go
@@ -11,17 +11,29 @@
 	for _, p := range processes {
 		one := &InstanceCounts{Instance: string(p.Instance), Incarnation: uint64(p.Incarnation)}
 		for w, counts := range p.Windows {
-			window := &WindowCounts{Window: int64(w), Counts: make(map[string]uint64, len(counts))}
-			for workspace, n := range counts {
-				window.Counts[string(workspace)] = n
-			}
-			one.Windows = append(one.Windows, window)
+			one.Windows = append(one.Windows, windowCountsOf(w, counts))
 		}
 		message.Instances = append(message.Instances, one)
 	}
 	return message
 }
 
+func windowCountsOf(w usage.Window, counts usage.Counts) *WindowCounts {
+	window := &WindowCounts{Window: int64(w), Counts: make(map[string]uint64, len(counts))}
+	for workspace, n := range counts {
+		window.Counts[string(workspace)] = n
+	}
+	return window
+}
+
+func (x *WindowCounts) asCounts() usage.Counts {
+	counts := make(usage.Counts, len(x.Counts))
+	for workspace, n := range x.Counts {
+		counts[id.Workspace(workspace)] = n
+	}
+	return counts
+}
+
 // AsProcessCounts converts a message.
 func (x *UsageCounts) AsProcessCounts() []usage.ProcessCounts {
 	var out []usage.ProcessCounts
@@ -31,13 +43,43 @@
 			Windows: make(map[usage.Window]usage.Counts, len(one.Windows)),
 		}
 		for _, w := range one.Windows {
-			counts := make(usage.Counts, len(w.Counts))
-			for workspace, n := range w.Counts {
-				counts[id.Workspace(workspace)] = n
-			}
-			p.Windows[usage.Window(w.Window)] = counts
+			p.Windows[usage.Window(w.Window)] = w.asCounts()
 		}
 		out = append(out, p)
 	}
 	return out
 }
+
+// RecallResponseOf converts what a process knows of the reports.
+func RecallResponseOf(a usage.Account) *RecallResponse {
+	message := &RecallResponse{
+		Reported: uint64(a.Reported), Settled: int64(a.Settled), Since: a.Since,
+		Unused: numbersOf[uint64](a.Unused), Heard: numbersOf[uint64](a.Heard),
+		Vouched: numbersOf[uint64](a.Vouched),
+	}
+	if a.Decided != nil {
+		message.Decided = windowCountsOf(a.Decided.Window, a.Decided.Counts)
+	}
+	return message
+}
+
+// AsAccount converts a message.
+func (x *RecallResponse) AsAccount() usage.Account {
+	a := usage.Account{
+		Reported: id.FencingNumber(x.Reported), Settled: usage.Window(x.Settled), Since: x.Since,
+		Unused: numbersOf[id.FencingNumber](x.Unused), Heard: numbersOf[id.FencingNumber](x.Heard),
+		Vouched: numbersOf[id.FencingNumber](x.Vouched),
+	}
+	if x.Decided != nil {
+		a.Decided = &usage.Report{Window: usage.Window(x.Decided.Window), Counts: x.Decided.asCounts()}
+	}
+	return a
+}
+
+func numbersOf[To, From ~uint64](numbers []From) []To {
+	out := make([]To, len(numbers))
+	for i, n := range numbers {
+		out[i] = To(n)
+	}
+	return out
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/balancer"
+	"samphirehead/coordination/duty"
 	"samphirehead/coordination/heartbeat"
 	"samphirehead/protocol/exchange"
 	"samphirehead/state/id"
@@ -219,6 +220,11 @@
 	r.throttles.receive(now, id.Instance(s.Self.Instance), s.Rates)
 	r.receiveLeaving(now, s.Self.Instance, s.Leaving)
 	r.duties.receiveHoldings(s.Holdings)
+	for _, h := range s.Holdings {
+		if duty.Subject(h.Subject) == duty.Usage {
+			r.hearUsageHolder(id.FencingNumber(h.FencingNumber), time.Duration(h.AgeUs)*time.Microsecond)
+		}
+	}
 	for _, t := range s.Tables {
 		if t.Name == r.upstreams.name && t.Reached {
 			r.upstreams.peerReachedAt = now
--- /dev/null
+++ b/router/recall.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"samphirehead/coordination/duty"
+	"samphirehead/coordination/usage"
+	"samphirehead/protocol/exchange"
+	"samphirehead/state/id"
+)
+
+// maxRecalled bounds the instances that a new holder asks what they know of the reports of usage:
+// those that compete for the duty first.
+const maxRecalled = 32
+
+// recallUsage asks the live instances for what they know of the reports of usage.
+func (r *Router) recallUsage(ctx context.Context, effect usage.Recall) usage.Recalled {
+	addresses := r.recalledPeers()
+	answers := make(chan *exchange.RecallResponse)
+	for _, address := range addresses {
+		go func() {
+			answer, err := r.peers.Recall(ctx, address, &exchange.RecallRequest{FencingNumber: uint64(effect.FencingNumber)})
+			if err != nil {
+				klog.V(1).InfoS("usage not recalled", "peer", address, "err", err)
+				answer = nil
+			}
+			answers <- answer
+		}()
+	}
+	result := usage.Recalled{All: true}
+	for range addresses {
+		if answer := <-answers; answer != nil {
+			result.Accounts = append(result.Accounts, answer.AsAccount())
+		} else {
+			result.All = false
+		}
+	}
+	klog.InfoS("usage recalled", "fencing_number", effect.FencingNumber, "asked", len(addresses), "answered", len(result.Accounts))
+	return result
+}
+
+// recalledPeers returns the addresses of the instances to ask.
+func (r *Router) recalledPeers() []string {
+	addresses := make(map[id.Instance]string)
+	var candidates []duty.Candidate
+	for _, record := range r.liveRecords() {
+		if record.Instance != r.Settings.Instance {
+			addresses[record.Instance] = record.PeerAddress
+			candidates = append(candidates, duty.Candidate{Instance: record.Instance, FailureDomain: record.FailureDomain})
+		}
+	}
+	var out []string
+	for _, instance := range duty.Order(duty.Usage, "", candidates) {
+		if len(out) < maxRecalled {
+			out = append(out, addresses[instance])
+		}
+	}
+	return out
+}
+
+// Recall tells a new holder of the reports of usage what this instance knows of them.
+func (r *Router) Recall(_ context.Context, request *exchange.RecallRequest) (*exchange.RecallResponse, error) {
+	r.hearUsageHolder(id.FencingNumber(request.FencingNumber), 0)
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
+	if !r.usage.enabled {
+		return &exchange.RecallResponse{}, nil
+	}
+	return exchange.RecallResponseOf(r.usage.reporter.Account()), nil
+}
+
+// seeEra notes the era of what was read of the platform.
+func (u *usageCounter) seeEra(era uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reporter.SeeEra(era)
+}
+
+// hearUsageHolder notes that an instance held the reports of usage under a fencing number an age
+// before now.
+func (r *Router) hearUsageHolder(number id.FencingNumber, age time.Duration) {
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
+	if r.usage.enabled {
+		r.usage.reporter.Hear(number, r.usage.now().Add(-max(age, 0)))
+	}
+}
+
+// usageCertain reports whether it is known which windows were reported before, and logs how many
+// are left out if that has ended the doubt.
+func (r *Router) usageCertain() bool {
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
+	u := &r.usage
+	if leftOut := u.reporter.LeftOut(); leftOut > u.leftOut {
+		klog.InfoS("usage left out", "windows", leftOut-u.leftOut, "settled", u.ledger.Settled(),
+			"after", u.now().Sub(u.windows.End(u.ledger.Settled())).Round(time.Millisecond))
+		r.metrics.Add("usage_windows_left_out", int64(leftOut-u.leftOut))
+		u.leftOut = leftOut
+	}
+	return u.reporter.Certain()
+}
--- a/router/router.go
+++ b/router/router.go
@@ -133,8 +133,6 @@
 	activeRoutes activeRoutes
 	// upstreamsEra is the era of the table of the upstreams that was last applied.
 	upstreamsEra uint64
-	// restored is set once the platform was restored from a copy while this process ran.
-	restored bool
 	// tableActiveSince is when the active table was installed.
 	tableActiveSince time.Time
 	membership       *heartbeat.Machine
--- a/router/tables.go
+++ b/router/tables.go
@@ -156,7 +156,6 @@
 // r.mu must be held.
 func (r *Router) noteEra(era uint64) {
 	if r.upstreamsEra != 0 && era > r.upstreamsEra {
-		r.restored = true
 		select {
 		case r.platformRestored <- struct{}{}:
 		default:
@@ -165,6 +164,7 @@
 		r.origins.notify()
 	}
 	r.upstreamsEra = era
+	r.usage.seeEra(era)
 }
 
 // refreshUpstreams reads and applies what has changed of the upstreams.
--- a/router/usage.go
+++ b/router/usage.go
@@ -34,6 +34,8 @@
 	windows  usage.Windows
 	ledger   usage.Ledger
 	reporter usage.Reporter
+	// leftOut is how many of the windows that the reporter left out were logged.
+	leftOut uint64
 }
 
 func (u *usageCounter) init(s *settings.Duties, self usage.Process) {
@@ -43,7 +45,7 @@
 	u.enabled = true
 	u.windows.Length = s.Usage.Window
 	u.ledger.Self = self
-	u.reporter = usage.Reporter{Ledger: &u.ledger, Windows: &u.windows, Lateness: s.Usage.Lateness}
+	u.reporter = usage.Reporter{Ledger: &u.ledger, Windows: &u.windows, Lateness: s.Usage.Lateness, Lease: s.Lease}
 }
 
 // now returns the true time. u.mu must be held.
@@ -112,8 +114,10 @@
 	counts := r.usage.ledger.Counts(func(p usage.Process) bool {
 		return plan.all || p == r.usage.ledger.Self || !plan.live[p.Instance]
 	})
+	message := exchange.UsageCountsOf(counts)
+	message.LastNumber = uint64(r.usage.reporter.LastHeard())
 	r.usage.mu.Unlock()
-	receipt, err := r.peers.Collect(ctx, plan.address, exchange.UsageCountsOf(counts))
+	receipt, err := r.peers.Collect(ctx, plan.address, message)
 	if err != nil {
 		klog.V(1).InfoS("usage not passed on", "peer", plan.address, "err", err)
 		return
@@ -178,6 +182,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.reporter.Hear(id.FencingNumber(counts.LastNumber), time.Time{})
 	current := u.windows.At(u.now())
 	for _, one := range counts.AsProcessCounts() {
 		u.ledger.Merge(one, current)
@@ -203,7 +208,7 @@
 		if number != held {
 			r.stepReporter(usage.Lost{})
 			if number != 0 {
-				r.stepReporter(usage.Acquired{})
+				r.stepReporter(usage.Acquired{FencingNumber: number})
 			}
 			held = number
 		}
@@ -211,7 +216,8 @@
 	}
 }
 
-// report carries out what the reporter has to do, until it has nothing left or fails.
+// report carries out what the reporter has to do, until it has nothing left, fails or has asked in
+// vain.
 func (r *Router) report(ctx context.Context) {
 	var live []id.Instance
 	for _, record := range r.liveRecords() {
@@ -228,6 +234,9 @@
 			klog.InfoS("usage not reported", "err", err)
 			return
 		}
+		if _, asked := effect.(usage.Recall); asked && !r.usageCertain() {
+			return
+		}
 	}
 }
 
@@ -243,7 +252,9 @@
 	switch effect := effect.(type) {
 	case usage.ReadRows:
 		rows, era, err := r.Platform.ReadRows(ctx, usage.KeyPrefix)
-		return usage.RowsRead{Rows: rows, Era: era, Restored: r.platformWasRestored(), Err: err}, err
+		return usage.RowsRead{Rows: rows, Era: era, Err: err}, err
+	case usage.Recall:
+		return r.recallUsage(ctx, effect), nil
 	case usage.WriteRow:
 		result, era := r.Platform.WriteRow(ctx, effect.Write)
 		return usage.RowWritten{Result: result, Era: era}, writeError(result)
@@ -259,14 +270,6 @@
 	panic("unknown effect of the reporter")
 }
 
-// platformWasRestored reports whether the platform was restored from a copy while this process
-// ran.
-func (r *Router) platformWasRestored() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.restored
-}
-
 // writeError returns why it is not known that a write was applied or conflicted; nil if it is.
 func writeError(result record.WriteResult) error {
 	switch result := result.(type) {
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -64,6 +64,16 @@
 // FencingNumber orders the holders of a lease; it rises with each new holder.
 type FencingNumber uint64
 
+// eraShift is the bit of a fencing number above which it holds the era of the table, so that a
+// number that was lost with a restoration is never given out again.
+const eraShift = 32
+
+// FirstFencingNumber returns the number below all that are given out in an era of the table.
+func FirstFencingNumber(era uint64) FencingNumber { return FencingNumber(era) << eraShift }
+
+// Era returns the era of the table in which the number was given out; 0 if that was not known.
+func (n FencingNumber) Era() uint64 { return uint64(n) >> eraShift }
+
 // Fingerprint is the same for all requests of one workspace with the same model
 // and body.
 type Fingerprint uint64
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -26,7 +26,7 @@
 	// originsTimeout bounds a call of the service Origins, which may include a read of the
 	// platform.
 	originsTimeout = time.Second
-	// collectTimeout bounds a call that passes counts on, which is made again soon.
+	// collectTimeout bounds a call of the service Usage, which is made again soon.
 	collectTimeout = 400 * time.Millisecond
 	idleTimeout    = 10 * time.Second
 	maxIdlePerPeer = 2
@@ -108,6 +108,14 @@
 	return response, fault.Wrap("pass usage on", address, err)
 }
 
+// Recall asks the instance at address what it knows of the reports of usage.
+func (c *Client) Recall(ctx context.Context, address string, r *exchange.RecallRequest) (*exchange.RecallResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	response, err := exchange.NewUsageProtobufClient("http://"+address, c.httpClient()).Recall(ctx, r)
+	return response, fault.Wrap("recall usage", address, err)
+}
+
 func (c *Client) clientOf(address string) exchange.Exchange {
 	return exchange.NewExchangeProtobufClient("http://"+address, c.httpClient())
 }
