router: ask others before the only version is taken for that of a stream

What callers saw: a stream whose first events were of one software version went on at another one (ORDER), when it was taken up at an instance that had started after the store came back from a copy without that version, while the store turned the older instances away.

What is published of versions is lost with the copy until an instance that knows them reaches the store; one that starts then sees a single version and no trace of others.

Change: for an instance that started when the stream may have begun already, the only version is a presumption. Up to 8 live instances are asked, from memory and for 0.3 s at most; one that knows of several versions contradicts it, one that has sent the stream tells the origin. Old builds that don't know the stream contradict it, too.

--- a/coordination/resumption/resumption.go
+++ b/coordination/resumption/resumption.go
@@ -326,20 +326,35 @@
 	return s.origin, s.proven
 }
 
+// Found is where a stream began.
+type Found struct {
+	Origin
+	// Presumed is set if it is the only version there can be as far as the instance knows, which
+	// started when the stream may have begun already: what was published of other versions
+	// may have been lost, if the platform was restored from a copy.
+	Presumed bool
+}
+
+// Versions returns how many versions streams of the services may have begun at that their callers
+// wait for.
+func (t *Tracker) Versions(now time.Time, services []id.Service) int {
+	return len(t.possibleAt(now, services))
+}
+
 // Find returns where a stream began at one of the services. published is what instances
 // have published, or nil if that can't be read; it must have been read, and the versions
 // listed, after the caller asked for the stream. A stream that no instance has published
 // can have begun at a single version only if there is no other, which nobody knows who
 // can't read that.
-func (t *Tracker) Find(now time.Time, request id.Request, services []id.Service, published *Publication) (Origin, bool) {
+func (t *Tracker) Find(now time.Time, request id.Request, services []id.Service, published *Publication) (Found, bool) {
 	if origin, ok := t.Own(request); ok {
-		return origin, true
+		return Found{Origin: origin}, true
 	}
 	if published == nil {
-		return Origin{}, false
+		return Found{}, false
 	}
 	if origin, ok := published.Streams[request]; ok {
-		return origin, true
+		return Found{Origin: origin}, true
 	}
 	possible := t.possibleAt(now, services)
 	for _, origin := range published.Versions {
@@ -348,7 +363,7 @@
 		}
 	}
 	if len(possible) != 1 {
-		return Origin{}, false
+		return Found{}, false
 	}
-	return possible[0], true
+	return Found{possible[0], now.Sub(t.listedSince) <= t.wait}, true
 }
--- a/coordination/resumption/resumption_test.go
+++ b/coordination/resumption/resumption_test.go
@@ -150,7 +150,7 @@
 			published := s.read()
 			for request, software := range c.want {
 				got, known := started.Find(now, request, services, &published)
-				if known != (software != "") || known && got != at(software) {
+				if known != (software != "") || known && got.Origin != at(software) {
 					t.Errorf("%s: %v, known %t, want %q", request, got, known, software)
 				}
 			}
@@ -202,7 +202,7 @@
 					readable = nil
 				}
 				for request, origin := range began {
-					if got, known := trackers[i].Find(now, request, services, readable); known && got != origin && now.Sub(begunAt[request]) <= wait {
+					if got, known := trackers[i].Find(now, request, services, readable); known && got.Origin != origin && now.Sub(begunAt[request]) <= wait {
 						t.Fatalf("stream %s began at %v, found %v", request, origin, got)
 					}
 				}
--- a/router/locate.go
+++ b/router/locate.go
@@ -16,6 +16,9 @@
 // maxAskedPeers is how many instances at most are asked where a stream began.
 const maxAskedPeers = 8
 
+// maxPresumedWait bounds the wait for those that may contradict what is presumed.
+const maxPresumedWait = 300 * time.Millisecond
+
 // isResumption reports whether the caller resumes a stream that it has events of.
 func (j *job) isResumption() bool {
 	return j.route.Resumable && (j.Resumes != "" || j.LastEventID != "")
@@ -30,34 +33,34 @@
 	if j.Resumes != "" {
 		stream = j.streamID()
 	}
-	origin, known, err := j.router.locate(ctx, stream, services)
-	askedPeers := !known && stream != ""
+	found, known, err := j.router.locate(ctx, stream, services, false)
+	askedPeers := !known && stream != "" || found.Presumed
 	if askedPeers {
-		origin, known = j.router.askPeers(ctx, stream, services)
+		found, known = j.router.askPeers(ctx, stream, services, found)
 	}
-	klog.InfoS("stream origin sought", "request", j.ID, "resumes", j.Resumes, "found", known,
-		"service", origin.Service, "software", origin.Software, "asked_peers", askedPeers, "err", err)
-	if !known || !slices.Contains(services, origin.Service) {
+	klog.InfoS("stream origin sought", "request", j.ID, "resumes", j.Resumes, "found", known, "presumed", found.Presumed,
+		"service", found.Service, "software", found.Software, "asked_peers", askedPeers, "err", err)
+	if !known || !slices.Contains(services, found.Service) {
 		return false
 	}
-	j.service, j.software, j.resumedAt = origin.Service, &origin.Software, j.arrived
+	j.service, j.software, j.resumedAt = found.Service, &found.Software, j.arrived
 	return true
 }
 
 // locate returns where a stream began, if this instance has sent it or the platform can be
-// read and tells.
-func (r *Router) locate(ctx context.Context, request id.Request, services []id.Service) (origin resumption.Origin, known bool, err error) {
+// read and tells. It is not read if fromMemory is set.
+func (r *Router) locate(ctx context.Context, request id.Request, services []id.Service, fromMemory bool) (found resumption.Found, known bool, err error) {
 	r.mu.Lock()
-	origin, known = r.ownOrigin(request)
+	origin, known := r.ownOrigin(request)
 	r.mu.Unlock()
-	if known {
-		return origin, true, nil
+	if known || fromMemory {
+		return resumption.Found{Origin: origin}, known, nil
 	}
 	published, err := r.readOrigins(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	origin, known = r.origins.tracker.Find(time.Now(), request, services, published)
-	return origin, known, err
+	found, known = r.origins.tracker.Find(time.Now(), request, services, published)
+	return found, known, err
 }
 
 // Locate tells another instance where a stream began.
@@ -66,39 +69,76 @@
 	for i, service := range request.Services {
 		services[i] = id.Service(service)
 	}
-	origin, known, err := r.locate(ctx, id.Request(request.Request), services)
+	found, known, err := r.locate(ctx, id.Request(request.Request), services, request.FromMemory)
 	if err != nil {
 		klog.V(1).InfoS("stream not located for a peer", "resumes", request.Request, "err", err)
 	}
-	return &exchange.LocateResponse{Known: known, Service: string(origin.Service), Software: string(origin.Software)}, nil
+	answer := &exchange.LocateResponse{Known: known, Presumed: found.Presumed, Versions: r.versionsOf(services)}
+	if known {
+		answer.Service, answer.Software = string(found.Service), string(found.Software)
+	}
+	return answer, nil
+}
+
+// versionsOf returns how many versions a stream of the services may have begun at, as far as this
+// instance knows; 1 if it knows of none.
+func (r *Router) versionsOf(services []id.Service) uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return uint32(max(1, r.origins.tracker.Versions(time.Now(), services)))
 }
 
 // askPeers asks other instances where a stream began: one of them may have sent it, or
-// reach the platform when this one does not. The first that knows it ends the search.
-func (r *Router) askPeers(ctx context.Context, request id.Request, services []id.Service) (resumption.Origin, bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	message := &exchange.LocateRequest{Request: string(request)}
+// reach the platform when this one does not. The first that knows it ends the search. If all that is
+// known is a presumption, by own or another's, it holds unless one knows of several versions.
+func (r *Router) askPeers(ctx context.Context, request id.Request, services []id.Service, presumed resumption.Found) (resumption.Found, bool) {
+	message := &exchange.LocateRequest{Request: string(request), FromMemory: presumed.Presumed}
 	for _, service := range services {
 		message.Services = append(message.Services, string(service))
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if presumed.Presumed {
+		defer time.AfterFunc(maxPresumedWait, cancel).Stop()
+	}
+	contradicted := false
 	addresses := r.peersToAsk(maxAskedPeers)
+	answers := r.locateAt(ctx, addresses, message)
+	for range addresses {
+		answer := <-answers
+		switch {
+		case answer == nil:
+		case answer.Known && !answer.Presumed:
+			return foundBy(answer), true
+		case answer.Versions > 1, answer.Versions == 0 && !answer.Known:
+			contradicted = true
+		case answer.Known:
+			presumed = foundBy(answer)
+		}
+	}
+	return presumed, presumed.Presumed && !contradicted
+}
+
+func foundBy(answer *exchange.LocateResponse) resumption.Found {
+	origin := resumption.Origin{Service: id.Service(answer.Service), Software: id.SoftwareVersion(answer.Software)}
+	return resumption.Found{Origin: origin, Presumed: answer.Presumed}
+}
+
+// locateAt asks the instances at some addresses. The channel receives an answer from each, nil if
+// there was none.
+func (r *Router) locateAt(ctx context.Context, addresses []string, message *exchange.LocateRequest) <-chan *exchange.LocateResponse {
 	answers := make(chan *exchange.LocateResponse, len(addresses))
 	for _, address := range addresses {
 		go func() {
 			answer, err := r.peers.Locate(ctx, address, message)
-			if err != nil && ctx.Err() == nil {
+			if err != nil {
 				klog.V(1).InfoS("peer did not locate a stream", "peer", address, "err", err)
+				answer = nil
 			}
 			answers <- answer
 		}()
 	}
-	for range addresses {
-		if answer := <-answers; answer.GetKnown() {
-			return resumption.Origin{Service: id.Service(answer.Service), Software: id.SoftwareVersion(answer.Software)}, true
-		}
-	}
-	return resumption.Origin{}, false
+	return answers
 }
 
 // peersToAsk returns the addresses of up to limit live peers, drawn at random.
