announce: read the store again soon after the start

Cause: instances that know a quarantine store it again within 2 s, but one that has started in between reads the store next after 30 s, and messages of peers tell only of crashes of the last 30 s.

Change: an instance that starts reads again after 2.5 and after 5 s. Two reads more a start.

--- a/router/announce.go
+++ b/router/announce.go
@@ -19,6 +19,10 @@
 	// restoreSpread is the longest time until an instance publishes again after the
 	// platform was restored, so that one finds what others have stored already.
 	restoreSpread = 2 * time.Second
+	// An instance that starts reads earlyReads times more after earlyInterval each: just after the
+	// platform was restored, others have not yet stored again what the copy lacks.
+	earlyReads    = 2
+	earlyInterval = restoreSpread + 500*time.Millisecond
 )
 
 // announce publishes this instance for peers that start later, and reads the
@@ -28,7 +32,7 @@
 // again, and quarantines that are missing are stored.
 func (r *Router) announce(ctx context.Context) error {
 	announced, restored := false, false
-	for {
+	for reads := 0; ; {
 		if !announced {
 			err := r.Platform.Announce(ctx, r.Settings.Instance, r.Addr(Peers))
 			announced = err == nil
@@ -43,14 +47,18 @@
 			r.stepMembership(heartbeat.SeedsAdded{Addresses: addresses})
 			r.countAnnounced(len(addresses))
 			r.applyStored(ctx, quarantines)
+			reads++
 			if restored {
 				r.storeMissing(quarantines)
 				restored = false
 			}
 		}
 		wait := announceInterval
-		if err != nil || !announced {
+		switch {
+		case err != nil || !announced:
 			wait = announceRetry
+		case reads <= earlyReads:
+			wait = earlyInterval
 		}
 		select {
 		case <-ctx.Done():
