--- a/coordination/usage/account.go
+++ b/coordination/usage/history.go
@@ -11,9 +11,9 @@
 // maxNumbers bounds the fencing numbers that a process remembers, and those that it is told.
 const maxNumbers = 16
 
-// Account is what a process knows of the reports. Unlike a row, it is not lost when the platform
+// History is what a process knows of the reports. Unlike a row, it is not lost when the platform
 // is restored from a copy.
-type Account struct {
+type History struct {
 	// Reported is the last fencing number under which the process itself decided reports; 0 if
 	// there is none. It knows of all reports up to then: those that are settled, and Decided.
 	Reported id.FencingNumber
@@ -32,11 +32,11 @@
 	Vouched []id.FencingNumber
 }
 
-// valid reports whether an account may be of a process whose clock is right. current is the
+// valid reports whether a history may be of a process whose clock is right. current is the
 // window of now.
-func (a Account) valid(current Window) bool {
-	return a.Settled <= current && (a.Decided == nil || a.Decided.Window <= current) &&
-		len(a.Unused) <= maxNumbers && len(a.Heard) <= maxNumbers && len(a.Vouched) <= maxNumbers
+func (h History) valid(current Window) bool {
+	return h.Settled <= current && (h.Decided == nil || h.Decided.Window <= current) &&
+		len(h.Unused) <= maxNumbers && len(h.Heard) <= maxNumbers && len(h.Vouched) <= maxNumbers
 }
 
 // confirmations holds when fencing numbers were last confirmed, as far as known: the zero time if
@@ -64,16 +64,16 @@
 }
 
 // reportedNumbers returns the fencing numbers below a limit under which reports may have been
-// decided, as far as accounts tell.
-func reportedNumbers(accounts []Account, limit id.FencingNumber) (out []id.FencingNumber) {
+// decided, as far as histories tell.
+func reportedNumbers(histories []History, limit id.FencingNumber) (out []id.FencingNumber) {
 	unused := make(map[id.FencingNumber]bool)
-	for _, a := range accounts {
-		for _, number := range a.Unused {
+	for _, h := range histories {
+		for _, number := range h.Unused {
 			unused[number] = true
 		}
 	}
-	for _, a := range accounts {
-		for _, number := range append(slices.Clone(a.Heard), a.Reported) {
+	for _, h := range histories {
+		for _, number := range append(slices.Clone(h.Heard), h.Reported) {
 			if number != 0 && number < limit && !unused[number] {
 				out = append(out, number)
 			}
@@ -82,18 +82,18 @@
 	return out
 }
 
-// lastReporter returns the account of the process that decided reports last, below a limit of
-// fencing numbers, if it is among the accounts and one of them vouches that there was none later.
-func lastReporter(accounts []Account, limit id.FencingNumber) (found Account, ok bool) {
-	numbers := reportedNumbers(accounts, limit)
+// lastReporter returns the history of the process that decided reports last, below a limit of
+// fencing numbers, if it is among the histories and one of them vouches that there was none later.
+func lastReporter(histories []History, limit id.FencingNumber) (found History, ok bool) {
+	numbers := reportedNumbers(histories, limit)
 	if len(numbers) == 0 {
-		return Account{}, false
+		return History{}, false
 	}
 	last := slices.Max(numbers)
-	at := slices.IndexFunc(accounts, func(a Account) bool { return a.Reported == last })
-	vouched := slices.ContainsFunc(accounts, func(a Account) bool { return slices.Contains(a.Vouched, last) })
+	at := slices.IndexFunc(histories, func(h History) bool { return h.Reported == last })
+	vouched := slices.ContainsFunc(histories, func(h History) bool { return slices.Contains(h.Vouched, last) })
 	if at < 0 || !vouched {
-		return Account{}, false
+		return History{}, false
 	}
-	return accounts[at], true
+	return histories[at], true
 }
--- a/coordination/usage/recall.go
+++ b/coordination/usage/recall.go
@@ -30,23 +30,23 @@
 	return last
 }
 
-// Account returns what this process knows of the reports.
-func (r *Reporter) Account() Account {
-	a := Account{
+// History returns what this process knows of the reports.
+func (r *Reporter) History() History {
+	h := History{
 		Reported: r.reported, Decided: r.carried, Settled: r.Ledger.Settled(), Since: r.since,
 		Heard: slices.Collect(maps.Keys(r.heard)), Vouched: r.heard.since(r.inTouchSince),
 		Unused: slices.Clone(r.unused),
 	}
 	if !r.certain {
-		a.Unused = r.unusedWith(r.number)
+		h.Unused = r.unusedWith(r.number)
 	}
 	if r.certain && r.pending != nil && r.pending.written {
-		a.Decided = &r.pending.Report
+		h.Decided = &r.pending.Report
 	}
-	if a.Decided != nil && a.Decided.Window <= a.Settled {
-		a.Decided = nil
+	if h.Decided != nil && h.Decided.Window <= h.Settled {
+		h.Decided = nil
 	}
-	return a
+	return h
 }
 
 // unusedWith returns the numbers under which nothing was decided, and one more.
@@ -82,7 +82,7 @@
 	if number == r.number {
 		return
 	}
-	r.carried = r.Account().Decided
+	r.carried = r.History().Decided
 	if !r.certain {
 		r.unused = r.unusedWith(r.number)
 	}
@@ -91,29 +91,29 @@
 	r.loaded, r.certain, r.pending = false, false, nil
 }
 
-// recalled ends the doubt if accounts tell what was reported before, or if there is none. Windows
+// recalled ends the doubt if histories tell what was reported before, or if there is none. Windows
 // of which nobody knows in time are left out: a missing report is better than a second one.
 func (r *Reporter) recalled(now time.Time, ev Recalled) {
 	if !r.loaded || r.certain {
 		return
 	}
 	current := r.Windows.At(now)
-	accounts := []Account{r.Account()}
-	for _, a := range ev.Accounts {
-		if !a.valid(current) {
+	histories := []History{r.History()}
+	for _, h := range ev.Histories {
+		if !h.valid(current) {
 			ev.All = false
 			continue
 		}
-		accounts = append(accounts, a)
-		r.Ledger.Settle(a.Settled)
+		histories = append(histories, h)
+		r.Ledger.Settle(h.Settled)
 	}
-	last, known := lastReporter(accounts, r.number)
+	last, known := lastReporter(histories, r.number)
 	switch {
 	case r.doubtful == 0:
-		if len(ev.Accounts) > 0 || ev.All || now.Sub(r.heldSince) >= recallTime {
+		if len(ev.Histories) > 0 || ev.All || now.Sub(r.heldSince) >= recallTime {
 			r.becomeCertain(nil)
 		}
-	case ev.All && r.neverReported(accounts):
+	case ev.All && r.neverReported(histories):
 		r.becomeCertain(nil)
 	case ev.All && known:
 		r.becomeCertain(last.Decided)
@@ -124,9 +124,9 @@
 
 // neverReported reports whether there are no rows because there were no reports: all processes
 // and all holders are of this era, whose rows are all there.
-func (r *Reporter) neverReported(accounts []Account) bool {
-	earlier := slices.ContainsFunc(accounts, func(a Account) bool { return a.Since != 0 && a.Since < r.era })
-	return r.noRows && !earlier && !slices.ContainsFunc(reportedNumbers(accounts, r.number), func(n id.FencingNumber) bool {
+func (r *Reporter) neverReported(histories []History) bool {
+	earlier := slices.ContainsFunc(histories, func(h History) bool { return h.Since != 0 && h.Since < r.era })
+	return r.noRows && !earlier && !slices.ContainsFunc(reportedNumbers(histories, r.number), func(n id.FencingNumber) bool {
 		return n.Era() < r.era
 	})
 }
--- a/coordination/usage/reporter.go
+++ b/coordination/usage/reporter.go
@@ -46,7 +46,7 @@
 
 // Recalled reports the result of Recall.
 type Recalled struct {
-	Accounts []Account
+	Histories []History
 	// All is set if all instances have answered that were asked.
 	All bool
 }
@@ -78,7 +78,7 @@
 // ReadRows requests a read of all rows of reports, to be answered by RowsRead.
 type ReadRows struct{}
 
-// Recall asks the live instances for their accounts, to be answered by Recalled. By the question
+// Recall asks the live instances for their histories, to be answered by Recalled. By the question
 // they hear of the fencing number.
 type Recall struct{ FencingNumber id.FencingNumber }
 
--- a/coordination/usage/reporter_test.go
+++ b/coordination/usage/reporter_test.go
@@ -99,7 +99,7 @@
 	result := usage.Recalled{All: !h.silent}
 	for _, p := range h.peers {
 		p.Hear(number, time.Time{})
-		result.Accounts = append(result.Accounts, p.Account())
+		result.Histories = append(result.Histories, p.History())
 	}
 	return result
 }
--- a/protocol/exchange/usage.go
+++ b/protocol/exchange/usage.go
@@ -51,29 +51,29 @@
 }
 
 // RecallResponseOf converts what a process knows of the reports.
-func RecallResponseOf(a usage.Account) *RecallResponse {
+func RecallResponseOf(h usage.History) *RecallResponse {
 	message := &RecallResponse{
-		Reported: uint64(a.Reported), Settled: int64(a.Settled), Since: a.Since,
-		Unused: numbersOf[uint64](a.Unused), Heard: numbersOf[uint64](a.Heard),
-		Vouched: numbersOf[uint64](a.Vouched),
+		Reported: uint64(h.Reported), Settled: int64(h.Settled), Since: h.Since,
+		Unused: numbersOf[uint64](h.Unused), Heard: numbersOf[uint64](h.Heard),
+		Vouched: numbersOf[uint64](h.Vouched),
 	}
-	if a.Decided != nil {
-		message.Decided = windowCountsOf(a.Decided.Window, a.Decided.Counts)
+	if h.Decided != nil {
+		message.Decided = windowCountsOf(h.Decided.Window, h.Decided.Counts)
 	}
 	return message
 }
 
-// AsAccount converts a message.
-func (x *RecallResponse) AsAccount() usage.Account {
-	a := usage.Account{
+// AsHistory converts a message.
+func (x *RecallResponse) AsHistory() usage.History {
+	h := usage.History{
 		Reported: id.FencingNumber(x.Reported), Settled: usage.Window(x.Settled), Since: x.Since,
 		Unused: numbersOf[id.FencingNumber](x.Unused), Heard: numbersOf[id.FencingNumber](x.Heard),
 		Vouched: numbersOf[id.FencingNumber](x.Vouched),
 	}
 	if x.Decided != nil {
-		a.Decided = &usage.Report{Window: usage.Window(x.Decided.Window), Counts: x.Decided.asCounts()}
+		h.Decided = &usage.Report{Window: usage.Window(x.Decided.Window), Counts: x.Decided.asCounts()}
 	}
-	return a
+	return h
 }
 
 func numbersOf[To, From ~uint64](numbers []From) []To {
--- a/protocol/exchange/usage_test.go
+++ b/protocol/exchange/usage_test.go
@@ -28,3 +28,17 @@
 		t.Errorf("%v, want %v", got, want)
 	}
 }
+
+func TestHistoryKeepsItsMeaning(t *testing.T) {
+	for name, want := range map[string]usage.History{
+		"with a report": {
+			Reported: 7, Settled: 41, Since: 2, Unused: []id.FencingNumber{8}, Heard: []id.FencingNumber{7, 8, 9},
+			Vouched: []id.FencingNumber{9}, Decided: &usage.Report{Window: 42, Counts: usage.Counts{"w1": 3}},
+		},
+		"without": {Settled: 41, Unused: []id.FencingNumber{}, Heard: []id.FencingNumber{}, Vouched: []id.FencingNumber{}},
+	} {
+		if got := exchange.RecallResponseOf(want).AsHistory(); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %+v, want %+v", name, got, want)
+		}
+	}
+}
--- a/router/recall.go
+++ b/router/recall.go
@@ -33,12 +33,12 @@
 	result := usage.Recalled{All: true}
 	for range addresses {
 		if answer := <-answers; answer != nil {
-			result.Accounts = append(result.Accounts, answer.AsAccount())
+			result.Histories = append(result.Histories, answer.AsHistory())
 		} else {
 			result.All = false
 		}
 	}
-	klog.InfoS("usage recalled", "fencing_number", effect.FencingNumber, "asked", len(addresses), "answered", len(result.Accounts))
+	klog.InfoS("usage recalled", "fencing_number", effect.FencingNumber, "asked", len(addresses), "answered", len(result.Histories))
 	return result
 }
 
@@ -69,7 +69,7 @@
 	if !r.usage.enabled {
 		return &exchange.RecallResponse{}, nil
 	}
-	return exchange.RecallResponseOf(r.usage.reporter.Account()), nil
+	return exchange.RecallResponseOf(r.usage.reporter.History()), nil
 }
 
 // seeEra notes the era of what was read of the platform.
