origins: look twice a second for streams whose origin is not certain

Cause: most streams are sent over a new connection, so that where they began is certain only once the list of the upstreams was read again. The design says twice a second at most, but the task that does it woke once a second, unless something else was to be published. All streams of the last second before the loss were unknown, and not those of the last 0.5 s.

Change: it looks each 0.5 s. One read more a second and instance, only while several versions serve.

--- a/router/origins.go
+++ b/router/origins.go
@@ -22,13 +22,11 @@
 	// resumeMargin is how much longer than the timeout of its route a caller is expected
 	// to wait for a stream.
 	resumeMargin = 10 * time.Second
-	// originsInterval is the interval at which is checked what to publish, and
-	// originsPause the shortest pause between two publications.
-	originsInterval = time.Second
+	// originsInterval is the interval at which is checked what to publish, and the shortest time
+	// between two reads of the list of the upstreams for streams that are to be published.
+	// originsPause is the shortest pause between two publications.
+	originsInterval = 500 * time.Millisecond
 	originsPause    = 50 * time.Millisecond
-	// originsConfirmInterval is the shortest time between two reads of the list of the
-	// upstreams for streams that are to be published.
-	originsConfirmInterval = 500 * time.Millisecond
 	// publishedStreamBytes is about the size of one published stream, and
 	// maxOriginsRate, in bytes a second, bounds the publications of an instance.
 	publishedStreamBytes = 26
@@ -149,7 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, confirmedAt := time.Now(), r.registry.ConfirmedAt()
-	return r.upstreams.reachable.Load() && now.Sub(confirmedAt) >= originsConfirmInterval &&
+	return r.upstreams.reachable.Load() && now.Sub(confirmedAt) >= originsInterval &&
 		r.origins.tracker.UnprovenSince(now, confirmedAt)
 }
 
