usage: say of a duty that was held too briefly that it was not used

What the platform saw: four windows without a report after a restoration, though the holder before was back after 1.4 s and knew that it had not reported them.

Cause: another instance had acquired the duty in between and lost it 0.2 s later, with the restoration. The task of the reports looks each 0.5 s and never heard of it, so that the instance could not say that it decided nothing under that number, and nobody else could.

Change: the number is noted when the lease is acquired.

--- a/coordination/usage/recall.go
+++ b/coordination/usage/recall.go
@@ -37,9 +37,6 @@
 		Heard: slices.Collect(maps.Keys(r.heard)), Vouched: r.heard.since(r.inTouchSince),
 		Unused: slices.Clone(r.unused),
 	}
-	if !r.certain {
-		h.Unused = r.unusedWith(r.number)
-	}
 	if r.certain && r.pending != nil && r.pending.written {
 		h.Decided = &r.pending.Report
 	}
@@ -49,10 +46,14 @@
 	return h
 }
 
-// unusedWith returns the numbers under which nothing was decided, and one more.
-func (r *Reporter) unusedWith(number id.FencingNumber) []id.FencingNumber {
-	unused := append(slices.Clone(r.unused), number)
-	return unused[max(len(unused)-maxNumbers, 0):]
+// Hold notes that this process has acquired the duty under a fencing number, also if it loses it
+// before Acquired. The number is unused until reports are decided under it.
+func (r *Reporter) Hold(number id.FencingNumber) {
+	if number == r.number || slices.Contains(r.unused, number) {
+		return
+	}
+	r.unused = append(r.unused, number)
+	r.unused = r.unused[max(len(r.unused)-maxNumbers, 0):]
 }
 
 // Certain reports whether it is known which windows were reported before the duty was acquired.
@@ -83,9 +84,7 @@
 		return
 	}
 	r.carried = r.History().Decided
-	if !r.certain {
-		r.unused = r.unusedWith(r.number)
-	}
+	r.Hold(number)
 	r.number, r.heldSince = number, now
 	r.Hear(number, now)
 	r.loaded, r.certain, r.pending = false, false, nil
@@ -135,6 +134,7 @@
 // nil if there is none.
 func (r *Reporter) becomeCertain(decided *Report) {
 	r.certain, r.reported, r.carried = true, r.number, nil
+	r.unused = slices.DeleteFunc(r.unused, func(n id.FencingNumber) bool { return n == r.number })
 	if decided != nil && decided.Window > r.Ledger.Settled() {
 		r.Ledger.Settle(decided.Window - 1)
 		r.pending = &decision{Report: *decided}
--- a/coordination/usage/recall_test.go
+++ b/coordination/usage/recall_test.go
@@ -155,6 +155,26 @@
 	}
 }
 
+// Guards against windows that nobody reports because another instance held the duty in between, too
+// briefly to do anything, and none of the others can tell that it didn't.
+func TestHolderThatDidNothingCausesNoDoubt(t *testing.T) {
+	p := newPlatform(t)
+	a, b, c := newHolder(p, "a"), newHolder(p, "b"), newHolder(p, "c")
+	a.peers, c.peers = []*holder{b, c}, []*holder{a, b}
+	a.acquire(end(first-1, 0))
+	a.run(end(first-1, 0), nil, "a", "b", "c")
+	c.Count(first, "w1")
+	p.number++
+	b.Hold(p.number)
+	for _, h := range []*holder{a, b, c} {
+		h.Hear(p.number, end(first-1, time.Second))
+	}
+	p.restore(nil)
+	c.acquire(end(first, 2*time.Second))
+	c.run(end(first, 6*time.Second), nil)
+	p.wantTaken(first, usage.Counts{"w1": 1})
+}
+
 // Guards against a history that no process can have, which settles windows that have not ended.
 func TestHistoryOfAnotherTimeIsNotUsed(t *testing.T) {
 	p := newPlatform(t)
--- a/router/duties.go
+++ b/router/duties.go
@@ -294,6 +294,9 @@
 			})
 		case lease.Acquired:
 			klog.InfoS("duty acquired", "subject", s.name, "fencing_number", effect.FencingNumber)
+			if s.name == duty.Usage {
+				r.usage.hold(effect.FencingNumber)
+			}
 		case lease.Lost:
 			klog.InfoS("duty lost", "subject", s.name, "fencing_number", effect.FencingNumber, "resigned", r.duties.resigned,
 				"expired", boottime.Now().Sub(s.lease.Expiry()))
--- a/router/recall.go
+++ b/router/recall.go
@@ -79,6 +79,13 @@
 	u.reporter.SeeEra(era)
 }
 
+// hold notes that this instance has acquired the duty, which it may lose before the reporter acts.
+func (u *usageCounter) hold(number id.FencingNumber) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reporter.Hold(number)
+}
+
 // hearUsageHolder notes that an instance held the reports of usage under a fencing number an age
 // before now.
 func (r *Router) hearUsageHolder(number id.FencingNumber, age time.Duration) {
