router: split what asks from what logs, and memory from reads of the platform

Read as a newcomer: locate had a flag for not reading; a question for certainty logged and counted; the holders that a peer tells of were sorted out amid other messages, also where no usage is reported.

--- a/router/announce.go
+++ b/router/announce.go
@@ -53,12 +53,9 @@
 				restored = false
 			}
 		}
-		wait := announceInterval
-		switch {
-		case err != nil || !announced:
-			wait = announceRetry
-		case reads <= earlyReads:
-			wait = earlyInterval
+		wait := announceRetry
+		if err == nil && announced {
+			wait = nextRead(reads)
 		}
 		select {
 		case <-ctx.Done():
@@ -75,6 +72,15 @@
 	}
 }
 
+// nextRead returns the interval from one read of the announcements to the next, after this number of
+// reads.
+func nextRead(reads int) time.Duration {
+	if reads <= earlyReads {
+		return earlyInterval
+	}
+	return announceInterval
+}
+
 // countAnnounced passes the number of announced instances to the retry budgets, as some of
 // them may be cut off from this one.
 func (r *Router) countAnnounced(instances int) {
--- a/router/locate.go
+++ b/router/locate.go
@@ -33,7 +33,7 @@
 	if j.Resumes != "" {
 		stream = j.streamID()
 	}
-	found, known, err := j.router.locate(ctx, stream, services, false)
+	found, known, err := j.router.locate(ctx, stream, services)
 	askedPeers := !known && stream != "" || found.Presumed
 	if askedPeers {
 		found, known = j.router.askPeers(ctx, stream, services, found)
@@ -47,14 +47,19 @@
 	return true
 }
 
-// locate returns where a stream began, if this instance has sent it or the platform can be
-// read and tells. It is not read if fromMemory is set.
-func (r *Router) locate(ctx context.Context, request id.Request, services []id.Service, fromMemory bool) (found resumption.Found, known bool, err error) {
+// remembered returns where a stream began that this instance has sent.
+func (r *Router) remembered(request id.Request) (resumption.Found, bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	origin, known := r.ownOrigin(request)
-	r.mu.Unlock()
-	if known || fromMemory {
-		return resumption.Found{Origin: origin}, known, nil
+	return resumption.Found{Origin: origin}, known
+}
+
+// locate returns where a stream began, if this instance has sent it or the platform can be
+// read and tells.
+func (r *Router) locate(ctx context.Context, request id.Request, services []id.Service) (found resumption.Found, known bool, err error) {
+	if found, known = r.remembered(request); known {
+		return found, true, nil
 	}
 	published, err := r.readOrigins(ctx)
 	r.mu.Lock()
@@ -69,9 +74,13 @@
 	for i, service := range request.Services {
 		services[i] = id.Service(service)
 	}
-	found, known, err := r.locate(ctx, id.Request(request.Request), services, request.FromMemory)
-	if err != nil {
-		klog.V(1).InfoS("stream not located for a peer", "resumes", request.Request, "err", err)
+	found, known := r.remembered(id.Request(request.Request))
+	if !known && !request.FromMemory {
+		var err error
+		found, known, err = r.locate(ctx, id.Request(request.Request), services)
+		if err != nil {
+			klog.V(1).InfoS("stream not located for a peer", "resumes", request.Request, "err", err)
+		}
 	}
 	answer := &exchange.LocateResponse{Known: known, Presumed: found.Presumed, Versions: r.versionsOf(services)}
 	if known {
@@ -89,8 +98,8 @@
 }
 
 // askPeers asks other instances where a stream began: one of them may have sent it, or
-// reach the platform when this one does not. The first that knows it ends the search. If all that is
-// known is a presumption, by own or another's, it holds unless one knows of several versions.
+// reach the platform when this one does not. The first that knows it ends the search. What this
+// instance or another only presumes holds unless one knows of several versions.
 func (r *Router) askPeers(ctx context.Context, request id.Request, services []id.Service, presumed resumption.Found) (resumption.Found, bool) {
 	message := &exchange.LocateRequest{Request: string(request), FromMemory: presumed.Presumed}
 	for _, service := range services {
--- a/router/peers.go
+++ b/router/peers.go
@@ -8,7 +8,6 @@
 	"k8s.io/klog/v2"
 
 	"samphirehead/coordination/balancer"
-	"samphirehead/coordination/duty"
 	"samphirehead/coordination/heartbeat"
 	"samphirehead/protocol/exchange"
 	"samphirehead/state/id"
@@ -220,11 +219,7 @@
 	r.throttles.receive(now, id.Instance(s.Self.Instance), s.Rates)
 	r.receiveLeaving(now, s.Self.Instance, s.Leaving)
 	r.duties.receiveHoldings(s.Holdings)
-	for _, h := range s.Holdings {
-		if duty.Subject(h.Subject) == duty.Usage {
-			r.hearUsageHolder(id.FencingNumber(h.FencingNumber), time.Duration(h.AgeUs)*time.Microsecond)
-		}
-	}
+	r.hearUsageHolders(s.Holdings)
 	for _, t := range s.Tables {
 		if t.Name == r.upstreams.name && t.Reached {
 			r.upstreams.peerReachedAt = now
--- a/router/recall.go
+++ b/router/recall.go
@@ -63,12 +63,12 @@
 
 // Recall tells a new holder of the reports of usage what this instance knows of them.
 func (r *Router) Recall(_ context.Context, request *exchange.RecallRequest) (*exchange.RecallResponse, error) {
-	r.hearUsageHolder(id.FencingNumber(request.FencingNumber), 0)
-	r.usage.mu.Lock()
-	defer r.usage.mu.Unlock()
 	if !r.usage.enabled {
 		return &exchange.RecallResponse{}, nil
 	}
+	r.usage.hear(id.FencingNumber(request.FencingNumber), 0)
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
 	return exchange.RecallResponseOf(r.usage.reporter.History()), nil
 }
 
@@ -86,27 +86,44 @@
 	u.reporter.Hold(number)
 }
 
-// hearUsageHolder notes that an instance held the reports of usage under a fencing number an age
-// before now.
-func (r *Router) hearUsageHolder(number id.FencingNumber, age time.Duration) {
-	r.usage.mu.Lock()
-	defer r.usage.mu.Unlock()
-	if r.usage.enabled {
-		r.usage.reporter.Hear(number, r.usage.now().Add(-max(age, 0)))
+// hear notes that an instance held the duty under a fencing number an age before now.
+func (u *usageCounter) hear(number id.FencingNumber, age time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reporter.Hear(number, u.now().Add(-max(age, 0)))
+}
+
+// hearUsageHolders notes the holders of the duty that a peer tells of.
+func (r *Router) hearUsageHolders(messages []*exchange.Holding) {
+	if !r.usage.enabled {
+		return
+	}
+	for _, h := range messages {
+		if duty.Subject(h.Subject) == duty.Usage {
+			r.usage.hear(id.FencingNumber(h.FencingNumber), time.Duration(h.AgeUs)*time.Microsecond)
+		}
 	}
 }
 
-// usageCertain reports whether it is known which windows were reported before, and logs how many
-// are left out if that has ended the doubt.
-func (r *Router) usageCertain() bool {
-	r.usage.mu.Lock()
-	defer r.usage.mu.Unlock()
+// certain reports whether it is known which windows were reported before.
+func (u *usageCounter) certain() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.reporter.Certain()
+}
+
+// logLeftOut logs and counts the windows that were left out since it was called last.
+func (r *Router) logLeftOut() {
 	u := &r.usage
-	if leftOut := u.reporter.LeftOut(); leftOut > u.leftOut {
-		klog.InfoS("usage left out", "windows", leftOut-u.leftOut, "settled", u.ledger.Settled(),
-			"after", u.now().Sub(u.windows.End(u.ledger.Settled())).Round(time.Millisecond))
-		r.metrics.Add("usage_windows_left_out", int64(leftOut-u.leftOut))
-		u.leftOut = leftOut
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	leftOut := u.reporter.LeftOut() - u.leftOut
+	if leftOut == 0 {
+		return
 	}
-	return u.reporter.Certain()
+	u.leftOut += leftOut
+	settled := u.ledger.Settled()
+	klog.InfoS("usage left out", "windows", leftOut, "settled", settled,
+		"after", u.now().Sub(u.windows.End(settled)).Round(time.Millisecond))
+	r.metrics.Add("usage_windows_left_out", int64(leftOut))
 }
--- a/router/usage.go
+++ b/router/usage.go
@@ -234,7 +234,8 @@
 			klog.InfoS("usage not reported", "err", err)
 			return
 		}
-		if _, asked := effect.(usage.Recall); asked && !r.usageCertain() {
+		r.logLeftOut()
+		if _, asked := effect.(usage.Recall); asked && !r.usage.certain() {
 			return
 		}
 	}
