router: name the version of the routes in the line of a request that ended

Refusals with 401 and 404 are decided before a request is logged as received, so that no line said by which version they were made: a late version could not be seen in the logs of those that callers complain of. The line of the end now has it.

--- a/router/serve.go
+++ b/router/serve.go
@@ -319,7 +319,7 @@
 		})
 	}
 	klog.InfoS("ended", "request", j.ID, "status", j.status, "reason", why, "outcome", outcome,
-		"route", j.routeName(), "workspace", j.workspaceName(), "attempts", len(j.tried), "ran", j.possibleRuns,
+		"route", j.routeName(), "workspace", j.workspaceName(), "version", j.version, "attempts", len(j.tried), "ran", j.possibleRuns,
 		"after", time.Since(j.arrived), "expected", j.expectedWait)
 }
 
