--- a/router/router.go
+++ b/router/router.go
@@ -46,7 +46,7 @@
 	// Watch keeps a copy of a table up to date until ctx ends, and returns the
 	// error of ctx. options is called before, and onCall after each call to the platform.
 	Watch(ctx context.Context, table string, dst *mirror.Mirror, options func() mirror.WatchOptions, onCall func(mirror.Call)) error
-	// CallAnew makes the call of a watch of a table anew that waits for changes.
+	// CallAnew makes a call without a wait beside that of a watch of a table, which may hang.
 	CallAnew(table string)
 	// Refresh brings a copy of a table up to date once.
 	Refresh(ctx context.Context, table string, dst *mirror.Mirror) error
