requestlog: put instances that never had a version first

The rollout of an instance that went on without a version counted as the shortest, and was never listed as late; the column of the last activation could show another instance's. The lag of such a process now lasts until its last line.

--- a/state/requestlog/rollout.go
+++ b/state/requestlog/rollout.go
@@ -1,11 +1,11 @@
 package requestlog
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 )
@@ -16,21 +16,19 @@
 	Instance string `json:"instance"`
 	// First is when the first instance activated the version.
 	First time.Time `json:"first"`
-	// Active is how long after First this instance activated it, or a newer one; negative if
-	// it did not.
-	Active time.Duration `json:"active"`
+	// Lag is how long after First this instance activated it, or a newer one. If it did
+	// not, Active is not set, and Lag is the time until the last line of its process.
+	Lag    time.Duration `json:"lag"`
+	Active bool          `json:"active"`
 	// LastOlder is how long after First this instance last handled a request by an older version; 0
 	// if it handled none.
 	LastOlder time.Duration `json:"last_older"`
 }
 
-// lag is the time by which rollouts are ordered.
-func (r Rollout) lag() time.Duration { return max(r.Active, r.LastOlder) }
-
-// lifetime holds the lines of one process of an instance that tell its versions.
+// lifetime is one process of an instance, with the lines that tell its versions.
 type lifetime struct {
 	instance           string
-	started            time.Time
+	started, ended     time.Time
 	activated, handled []Event
 }
 
@@ -52,10 +50,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b Rollout) int {
-		if byLag := b.lag() - a.lag(); byLag != 0 {
-			return int(byLag)
-		}
-		return strings.Compare(fmt.Sprint(a.Instance, a.Version), fmt.Sprint(b.Instance, b.Version))
+		return cmp.Or(cmp.Compare(b.Lag, a.Lag), cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Version, b.Version))
 	})
 	return all
 }
@@ -74,6 +69,7 @@
 			current[e.Instance] = l
 			all = append(all, l)
 		}
+		l.ended = e.Time
 		switch {
 		case e.Message == "routes activated":
 			l.activated = append(l.activated, e)
@@ -94,13 +90,11 @@
 // rollout returns how a version came into force that the first instance activated at a time. ok is
 // false if the process did not run or had no version then.
 func (l *lifetime) rollout(version uint64, first time.Time) (r Rollout, ok bool) {
-	r = Rollout{Version: version, Instance: l.instance, First: first, Active: -1}
+	r = Rollout{Version: version, Instance: l.instance, First: first, Lag: l.ended.Sub(first)}
 	for _, e := range l.activated {
-		if e.Time.Before(first) || r.Active < 0 && e.Version >= version {
-			ok = true
-		}
-		if r.Active < 0 && e.Version >= version {
-			r.Active = max(e.Time.Sub(first), 0)
+		ok = ok || e.Time.Before(first) || e.Version >= version
+		if !r.Active && e.Version >= version {
+			r.Lag, r.Active = max(e.Time.Sub(first), 0), true
 		}
 	}
 	for _, e := range l.handled {
@@ -108,7 +102,7 @@
 			r.LastOlder = e.Time.Sub(first)
 		}
 	}
-	return r, ok && !l.started.After(first)
+	return r, ok && !l.started.After(first) && r.Lag >= 0
 }
 
 // WriteRollouts writes a row for each version, and one for each rollout that lagged by more than
@@ -123,23 +117,22 @@
 	for _, version := range slices.Sorted(maps.Keys(byVersion)) {
 		// They are in the order of their lags.
 		of := byVersion[version]
-		median := of[len(of)/2]
-		older := slices.MaxFunc(of, func(a, b Rollout) int { return int(a.LastOlder - b.LastOlder) })
+		older := slices.MaxFunc(of, func(a, b Rollout) int { return cmp.Compare(a.LastOlder, b.LastOlder) })
 		fmt.Fprintf(table, "%d\t%s\t%d\t%s\t%s\t%s\t%s\t\n", version, of[0].First.Format(timeFormat), len(of),
-			median.activeText(), of[0].activeText(), of[0].Instance, older.LastOlder)
+			of[len(of)/2].lagText(), of[0].lagText(), of[0].Instance, older.LastOlder)
 	}
 	for _, r := range rollouts {
-		if r.lag() > late {
-			fmt.Fprintf(table, "%d\t%s\t%s\t\t%s\t\t%s\t\n", r.Version, r.First.Format(timeFormat), r.Instance, r.activeText(), r.LastOlder)
+		if r.Lag > late {
+			fmt.Fprintf(table, "%d\t%s\t\t\t%s\t%s\t%s\t\n", r.Version, r.First.Format(timeFormat), r.lagText(), r.Instance, r.LastOlder)
 		}
 	}
 	return table.Flush()
 }
 
-// activeText returns when the version became active after First, in words if it did not.
-func (r Rollout) activeText() string {
-	if r.Active < 0 {
-		return "never"
+// lagText returns the lag, with a mark if the version did not become active.
+func (r Rollout) lagText() string {
+	if !r.Active {
+		return "never, after " + r.Lag.String()
 	}
-	return r.Active.String()
+	return r.Lag.String()
 }
